--- /dev/null
+++ b/micadeal/actor.py
@@ -0,0 +1,80 @@
+"""Actors: each owns its state, takes one message at a time and never ends by a fault of its own."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Any
+
+import curio
+
+from micadeal.clock import sleep, within
+
+log = logging.getLogger(__name__)
+
+
+class Overloaded(Exception):
+    """The mailbox is full: the sender should say "later" to whoever asked it."""
+
+
+class _Letter:
+    __slots__ = ("answered", "failure", "message", "result")
+
+    def __init__(self, message: Any, wants_answer: bool) -> None:
+        self.message = message
+        self.answered = curio.Event() if wants_answer else None
+        self.result: Any = None
+        self.failure: Exception | None = None
+
+
+class Actor:
+    """A mailbox and the one task that reads it."""
+
+    def __init__(self, bound: int = 1000) -> None:
+        self._mail: curio.Queue = curio.Queue()
+        self._bound = bound
+
+    async def receive(self, message: Any) -> Any:
+        """Handle one message; the result goes to whoever asked."""
+        raise NotImplementedError
+
+    async def tell(self, message: Any) -> None:
+        await self._post(_Letter(message, wants_answer=False))
+
+    async def ask(self, message: Any, timeout: timedelta) -> Any:
+        letter = _Letter(message, wants_answer=True)
+        await self._post(letter)
+        assert letter.answered is not None
+        await within(timeout, letter.answered.wait())
+        if letter.failure is not None:
+            raise letter.failure
+        return letter.result
+
+    async def _post(self, letter: _Letter) -> None:
+        if self._mail.qsize() >= self._bound:
+            raise Overloaded
+        await self._mail.put(letter)
+
+    async def run(self) -> None:
+        while True:
+            letter = await self._mail.get()
+            try:
+                letter.result = await self.receive(letter.message)
+            except Exception as problem:
+                # Garbage from outside must not end the process: it costs its sender an answer.
+                log.exception("%s could not handle a message", type(self).__name__)
+                letter.failure = problem
+            if letter.answered is not None:
+                await letter.answered.set()
+
+
+async def keep_running(name: str, work: Callable[[], Awaitable[None]]) -> None:
+    """Run ``work`` for as long as the process lives, again after every fault."""
+    while True:
+        try:
+            await work()
+            log.warning("%s came to an end; it is started again", name)
+        except Exception:
+            log.exception("%s failed; it is started again", name)
+        await sleep(timedelta(seconds=1))
--- /dev/null
+++ b/micadeal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/micadeal/cli/__main__.py
@@ -0,0 +1,3 @@
+from micadeal.cli.main import main
+
+main()
--- /dev/null
+++ b/micadeal/cli/show.py
@@ -0,0 +1,82 @@
+"""Answers as people read them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+
+def show_why(answer: dict[str, Any]) -> str:
+    lines = [
+        f"{answer['job_id']} (team {answer.get('team') or '-'}): {answer['status']}, "
+        f"submitted {answer.get('waiting_s', 0):.0f} s ago",
+        f"  tasks: {answer.get('done', 0)} done, {answer.get('running', 0)} running, "
+        f"{answer.get('starting', 0)} starting, {answer.get('waiting', 0)} waiting",
+    ]
+    for reason in answer.get("reasons", ()):
+        count = f"{reason['tasks']} tasks: " if reason["tasks"] else ""
+        lines.append(f"  - {count}{reason['reason']}")
+    return "\n".join(lines)
+
+
+def _table(head: list[str], rows: list[list[str]]) -> list[str]:
+    widths = [max(len(row[i]) for row in [head, *rows]) for i in range(len(head))]
+    return [
+        "  ".join(
+            cell.ljust(width) if i == 0 else cell.rjust(width)
+            for i, (cell, width) in enumerate(zip(row, widths, strict=True))
+        ).rstrip()
+        for row in [head, *rows]
+    ]
+
+
+def show_overview(answer: dict[str, Any]) -> str:
+    touch = "in touch with" if answer["state_contact"] else "WITHOUT TOUCH WITH"
+    jobs = answer["jobs"]
+    lines = [
+        f"leader {answer['leader']} for {answer['leading_s']:.0f} s (token {answer['token']}), "
+        f"{touch} the state service",
+        f"jobs: {jobs.get('running', 0)} running, {jobs.get('starting', 0)} starting, "
+        f"{jobs.get('waiting', 0)} waiting",
+        "",
+    ]
+    lines += _table(
+        ["team", "used", "guarantee", "limit", "share", "demand", "waiting", "running"],
+        [
+            [
+                f"{team['name']} ({team['resource']})",
+                f"{team['used']:g}",
+                f"{team['guarantee']:g}",
+                f"{team['limit']:g}" if team["limit"] else "-",
+                f"{team['share']:.1f}",
+                f"{team['demand']:g}",
+                str(team["waiting_jobs"]),
+                str(team["running_jobs"]),
+            ]
+            for team in answer["teams"]
+        ],
+    )
+    lines.append("")
+    lines += _table(
+        ["machines", "up", "booting", "silent", "leaving", "accelerators"],
+        [
+            [
+                f"{m['machine_type']} {'spot' if m['spot'] else 'ordinary'} {m['zone']}",
+                str(m["up"]),
+                str(m["booting"]),
+                str(m["silent"]),
+                str(m["leaving"]),
+                f"{m['gpus_used']:g}/{m['gpus']:g}",
+            ]
+            for m in answer["machines"]
+        ],
+    )
+    if answer["stuck"]:
+        lines += ["", "stuck jobs:"]
+        lines += [
+            f"  {job['job_id']} ({job['job_class']}, {job['team']}): {job['waiting_s']:.0f} s: "
+            f"{job['reason']}"
+            for job in answer["stuck"]
+        ]
+    if answer["notes"]:
+        lines += ["", "notes:"] + [f"  {note}" for note in answer["notes"]]
+    return "\n".join(lines)
--- /dev/null
+++ b/micadeal/controller/cluster.py
@@ -0,0 +1,496 @@
+"""The leader's picture of jobs, machines and attempts, and what reports do to it.  No I/O.
+
+The one question that everything here serves: may a task still be, or still come to be, on a
+machine?  An attempt stays in the picture, and counts for limits, zones and room, until that is
+certainly not so (docs/safety.md).
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from micadeal.clock import DRIFT, ZERO, seconds
+from micadeal.fleet.model import Attempt, Machine
+from micadeal.jobs.model import CHUNK, Job
+from micadeal.operator.platform import Team, Workers
+from micadeal.wire.cloud import MachineType
+from micadeal.wire.state import EndRecord, MachineRecord, PlacedTask
+from micadeal.wire.users import Priority, Shape, Submission
+from micadeal.wire.workers import Order, Report, TaskReport, TaskState, Verb
+
+log = logging.getLogger(__name__)
+
+#: Attempt numbers are the term's token times this, plus a counter: they grow over all leaders
+#: and are never used twice, with nothing to write down.
+ATTEMPTS_PER_TERM = 1 << 20
+#: Beyond a worker's lease, for drift, late timers and a report that was on its way.
+LEASE_MARGIN = seconds(1.5)
+#: What the worker gets beyond the time a task needs to save.
+GRACE_MARGIN = seconds(2)
+_STATES = {state.value: state for state in TaskState}
+
+
+def split_task(text: str) -> tuple[str, int]:
+    job_id, _, index = text.rpartition("/")
+    if not job_id or not index.isdigit():
+        raise ValueError(f"not a task: {text!r}")
+    return job_id, int(index)
+
+
+class HigherToken(Exception):
+    """A worker has seen the token of a later leader."""
+
+
+@dataclass(slots=True)
+class Cluster:
+    token: int
+    workers: Workers
+    teams: dict[str, Team]
+    began: timedelta
+    types: dict[str, MachineType] = field(default_factory=dict)
+    image_sizes: dict[str, float] = field(default_factory=dict)
+    jobs: dict[str, Job] = field(default_factory=dict)
+    machines: dict[str, Machine] = field(default_factory=dict)
+    #: Jobs whose finished set, and machines whose record, must be written.
+    finished_dirty: set[str] = field(default_factory=set)
+    #: Machines that should hear of a stop at once.
+    direct: set[str] = field(default_factory=set)
+    #: Something changed that a pass could make use of.
+    changed: bool = True
+    #: Names of machines that are certainly gone: a late report or list brings none back.
+    gone: dict[str, timedelta] = field(default_factory=dict)
+    #: Sums over finished attempts, for the overview and the tests.
+    events: Counter[str] = field(default_factory=Counter)
+    _attempts: int = 0
+
+    # -- jobs ------------------------------------------------------------------------------
+
+    def add_job(self, job: Job) -> None:
+        self.jobs[job.id] = job
+        self.image_sizes[job.spec.image] = job.spec.image_gb
+        self.changed = True
+
+    def job_gone(self, job_id: str, now: timedelta) -> None:
+        """The job's record was removed: it is done or cancelled, nothing of it may go on."""
+        job = self.jobs.get(job_id)
+        if job is None or job.over:
+            return
+        job.over = True
+        self.changed = True
+        for attempt in list(job.all_attempts()):
+            self.stop(attempt, ZERO, now)
+        self._forget_job(job)
+
+    def job_done(self, job_id: str, now: timedelta) -> None:
+        """The job's end is recorded.  What is left of it on machines only has to exit."""
+        job = self.jobs.get(job_id)
+        if job is not None:
+            job.over = True
+            job.durable |= job.finished
+            for attempt in list(job.all_attempts()):
+                self.stop(attempt, ZERO, now)
+            self._forget_job(job)
+        self.changed = True
+
+    def _forget_job(self, job: Job) -> None:
+        if job.over and not job.attempts:
+            self.jobs.pop(job.id, None)
+
+    def next_number(self) -> int:
+        self._attempts += 1
+        return self.token * ATTEMPTS_PER_TERM + self._attempts
+
+    # -- attempts --------------------------------------------------------------------------
+
+    def place(
+        self, job: Job, index: int, number: int, machine: Machine, now: timedelta
+    ) -> Attempt:
+        attempt = Attempt(job.id, index, number, machine.name, now)
+        self._adopt(job, machine, attempt)
+        machine.images[job.spec.image] = now
+        return attempt
+
+    def _adopt(self, job: Job, machine: Machine, attempt: Attempt) -> None:
+        machine.attempts[attempt.key] = attempt
+        machine.idle_since = None
+        job.add(attempt)
+
+    def release(self, attempt: Attempt, now: timedelta) -> None:
+        """The attempt is certainly not on its machine, nor can it still come to be."""
+        machine = self.machines.get(attempt.machine)
+        if machine is not None:
+            machine.attempts.pop(attempt.key, None)
+            if not machine.attempts:
+                machine.idle_since = now
+        job = self.jobs.get(attempt.job_id)
+        if job is not None:
+            job.remove(attempt)
+            self._forget_job(job)
+        self.changed = True
+
+    def stop(self, attempt: Attempt, grace: timedelta, now: timedelta) -> None:
+        """Have an attempt stopped; the smaller grace of two wins."""
+        if attempt.stop is not None and attempt.stop <= grace:
+            return
+        attempt.stop = grace
+        if attempt.stop_since is None:
+            attempt.stop_since = now
+        if attempt.state is None and attempt.ordered is None and self._ours(attempt):
+            # Its start was never sent to anybody, so there is nothing to stop.
+            self.release(attempt, now)
+            return
+        self.direct.add(attempt.machine)
+
+    def stop_job(self, job: Job, now: timedelta, save: bool) -> None:
+        """Stop all of a job's attempts in one go, with grace to save if wanted."""
+        grace = job.save_time + GRACE_MARGIN if save and job.can_save else ZERO
+        for attempt in list(job.all_attempts()):
+            self.stop(attempt, grace, now)
+
+    def _ours(self, attempt: Attempt) -> bool:
+        return attempt.number >= self.token * ATTEMPTS_PER_TERM
+
+    # -- loading what an earlier leader left ----------------------------------------------
+
+    def load_machine(self, name: str, record: MachineRecord, now: timedelta) -> None:
+        machine = self.machines.get(name) or Machine(
+            name, record.address, record.machine_type, record.zone, record.spot, now, now
+        )
+        self.machines[name] = machine
+        machine.session = record.session
+        machine.recorded = frozenset(record.tasks)
+        for placed in record.tasks:
+            job = self._job_or_ghost(placed.job_id)
+            attempt = Attempt(placed.job_id, placed.index, placed.attempt, name, now, durable=True)
+            self._adopt(job, machine, attempt)
+            if job.over:
+                self.stop(attempt, ZERO, now)
+
+    def load_ended(self, job_id: str, end: EndRecord) -> None:
+        """A job that is over and may have tasks on machines: they count for its team still."""
+        ghost = _ghost(job_id, end.team, end.cpus, end.gpus, end.memory_gb)
+        self.jobs[job_id] = ghost
+
+    def _job_or_ghost(self, job_id: str) -> Job:
+        """A job that is over but has attempts left stays until they are gone."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            job = self.jobs[job_id] = _ghost(job_id)
+        return job
+
+    # -- reports ---------------------------------------------------------------------------
+
+    def on_report(self, report: Report, now: timedelta, checkin: bool) -> Machine | None:
+        """Take a report in; ``checkin`` tells a worker's own report from an answer to a command.
+
+        None if it is of a machine that is gone for good, or older than one taken already: then it
+        must not be answered as if it were news.
+        """
+        if report.token > self.token:
+            raise HigherToken
+        if report.machine in self.gone:
+            return None
+        machine = self.machines.get(report.machine)
+        if machine is None:
+            machine = self._meet(report, now)
+        if (report.session, report.sequence) <= (machine.session, machine.sequence):
+            # Held up by the network: its list of tasks is as old as itself.
+            return None
+        if machine.up_since is None:
+            machine.up_since = now
+            machine.idle_since = now
+            self.changed = True
+        if report.session > machine.session:
+            machine.exited.clear()
+        machine.session, machine.sequence = report.session, report.sequence
+        machine.address = report.address
+        knew = machine.knows_us
+        machine.knows_us = report.token == self.token
+        if machine.knows_us and not knew:
+            self.changed = True
+        if checkin:
+            machine.heard = now
+            if machine.lost:
+                machine.lost = False
+                self.changed = True
+        self._notice(machine, report, now)
+        self._tasks(machine, report, now, checkin)
+        return machine
+
+    def _meet(self, report: Report, now: timedelta) -> Machine:
+        """A machine nobody told us of: a late rental, or one rented by an earlier leader."""
+        machine = Machine(
+            report.machine, report.address, report.machine_type, report.zone, report.spot, now, now
+        )
+        self.machines[machine.name] = machine
+        return machine
+
+    def _notice(self, machine: Machine, report: Report, now: timedelta) -> None:
+        if report.notice_s is None:
+            machine.notice_end = None
+            return
+        if machine.notice_end is None:
+            self.changed = True
+        machine.notice_end = now + seconds(min(max(report.notice_s, 0.0), 1e6))
+
+    def _tasks(self, machine: Machine, report: Report, now: timedelta, checkin: bool) -> None:
+        shown: set[tuple[str, int, int]] = set()
+        exited: set[tuple[str, int]] = set()
+        for task in report.tasks:
+            try:
+                job_id, index = split_task(task.task)
+            except ValueError:
+                log.warning("%s reports %r", machine.name, task.task)
+                continue
+            key = (job_id, index, task.attempt)
+            shown.add(key)
+            if task.state == TaskState.EXITED.value:
+                exited.add((task.task, task.attempt))
+                self._exited(machine, key, task, now)
+            else:
+                self._present(machine, key, _STATES.get(task.state, TaskState.RUNNING), now)
+        for key in [key for key in machine.exited if key not in exited]:
+            del machine.exited[key]
+        for attempt in [a for key, a in machine.attempts.items() if key not in shown]:
+            if self._absent_for_good(attempt, machine, checkin):
+                if attempt.state is not None:
+                    self.events["lost"] += 1
+                    self._member_gone(attempt, now)
+                self.release(attempt, now)
+
+    def _absent_for_good(self, attempt: Attempt, machine: Machine, checkin: bool) -> bool:
+        """Whether an attempt that the newest report does not show can still come to be."""
+        if attempt.state is not None:
+            # It was there and is not any more: killed with its session, or forgotten.
+            return True
+        if not self._ours(attempt):
+            # Its start could only come in an answer of an earlier leader.  The worker drops those
+            # once it has seen our token; before that, a report that was held up by the network
+            # proves nothing (two leaders, one late report: the task would run twice).
+            return machine.knows_us
+        if attempt.ordered is None:
+            return False
+        if not checkin:
+            # An answer to a command may be made while the answer with the start is on its way.
+            return False
+        # The worker has one report in flight.  This one was sent after the answer with the start
+        # was taken or given up, and it does not show it.  Unless it is to be stopped, the start
+        # is simply ordered again.
+        return attempt.stop is not None and attempt.ordered < (machine.session, machine.sequence)
+
+    def _present(
+        self, machine: Machine, key: tuple[str, int, int], state: TaskState, now: timedelta
+    ) -> None:
+        attempt = machine.attempts.get(key)
+        if attempt is None:
+            job = self._job_or_ghost(key[0])
+            attempt = Attempt(*key, machine.name, now)
+            self._adopt(job, machine, attempt)
+            others = [a for a in job.attempts[key[1]] if a is not attempt]
+            if job.over or others or key[1] in job.finished:
+                self.stop(attempt, ZERO, now)
+        if state is not attempt.state:
+            if state is TaskState.RUNNING and attempt.running_since is None:
+                attempt.running_since = now
+            attempt.state = state
+        job = self.jobs[key[0]]
+        if not job.over:
+            machine.images[job.spec.image] = now
+
+    def _exited(
+        self, machine: Machine, key: tuple[str, int, int], task: TaskReport, now: timedelta
+    ) -> None:
+        job_id, index, _ = key
+        done = task.why == "done"
+        known = machine.exited.get((task.task, task.attempt))
+        attempt = machine.attempts.get(key)
+        machine.exited[(task.task, task.attempt)] = (job_id, index, done)
+        if known is not None and attempt is None:
+            return
+        job = self.jobs.get(job_id)
+        if job is not None and not job.over:
+            if done:
+                self._done(job, index, machine, now)
+            else:
+                self._failed(job, machine, attempt, task, now)
+        if attempt is not None:
+            if not done:
+                self._member_gone(attempt, now)
+            self.release(attempt, now)
+
+    def _done(self, job: Job, index: int, machine: Machine, now: timedelta) -> None:
+        if job.is_service or index >= job.spec.tasks:
+            return
+        machine.errors.clear()
+        job.errors.clear()
+        job.retry_at = timedelta.min
+        job.last_progress = now
+        # The tasks of a gang complete together: if one is done, every one is.
+        indexes: Iterable[int] = range(job.spec.tasks) if job.is_gang else (index,)
+        for finished in indexes:
+            if finished not in job.finished:
+                job.finish(finished)
+                self.events["done"] += 1
+        self.finished_dirty.add(job.id)
+        self.changed = True
+
+    def _failed(
+        self,
+        job: Job,
+        machine: Machine,
+        attempt: Attempt | None,
+        task: TaskReport,
+        now: timedelta,
+    ) -> None:
+        cause = task.why or "unknown"
+        self.events[cause] += 1
+        if cause == "error":
+            machine.errors.add(job.id)
+            job.errors[machine.name] += 1
+            # A job submitted with a mistake fails everywhere, stays below its share and would
+            # retake each freed slot (design, "Consequences"): it waits longer each time.
+            failures = sum(job.errors.values())
+            if len(job.errors) > 1 or failures > 2:
+                job.retry_at = now + min(seconds(2) * 2 ** min(failures - 2, 6), seconds(90))
+        elif cause == "unknown":
+            job.retry_at = now + seconds(2)
+
+    def _member_gone(self, attempt: Attempt, now: timedelta) -> None:
+        """A gang lost a task: its whole attempt is brought to an end before the next."""
+        job = self.jobs.get(attempt.job_id)
+        if job is None or not job.is_gang or job.over or job.complete:
+            return
+        if attempt.state is TaskState.SAVING or attempt.stop is not None:
+            # An orderly stop: each task saves and exits by itself.
+            others = [a for a in job.all_attempts() if a is not attempt and a.stop is None]
+        else:
+            others = [a for a in job.all_attempts() if a is not attempt]
+        for other in others:
+            self.stop(other, ZERO, now)
+
+    # -- orders ----------------------------------------------------------------------------
+
+    def orders_for(self, machine: Machine, now: timedelta, full: bool) -> list[Order]:
+        """What the answer to the machine's newest report says.  Starts only with ``full`` power,
+        and only in such answers: the worker drops those that come late."""
+        orders = self.stops_for(machine)
+        seen = (machine.session, machine.sequence)
+        if not full:
+            return orders
+        for (task, number), (job_id, index, done) in machine.exited.items():
+            job = self.jobs.get(job_id)
+            if not done or job is None or job.over or job.is_service or index in job.durable:
+                orders.append(Order(Verb.FORGET, task, number))
+        if not machine.knows_us or machine.lost:
+            return orders
+        for attempt in machine.attempts.values():
+            if attempt.durable and attempt.stop is None and attempt.state is None:
+                if self._ours(attempt):
+                    attempt.ordered = seen
+                    orders.append(Order(Verb.START, attempt.task, attempt.number))
+        return orders
+
+    def stops_for(self, machine: Machine) -> list[Order]:
+        return [
+            Order(Verb.STOP, a.task, a.number, a.stop.total_seconds())
+            for a in machine.attempts.values()
+            if a.stop is not None and (a.state is not None or not self._ours(a))
+        ]
+
+    # -- time ------------------------------------------------------------------------------
+
+    def expire(self, now: timedelta) -> None:
+        """Machines silent for longer than their lease: nothing is on them any more."""
+        limit = self.workers.lease * (1 + 2 * DRIFT) + LEASE_MARGIN
+        for machine in list(self.machines.values()):
+            # Only a worker that has shown our token: another leader can't have answered it since.
+            if machine.lost or machine.heard is None or not machine.knows_us:
+                continue
+            if now - machine.heard > limit:
+                machine.lost = True
+                self.changed = True
+                log.info("%s is silent past its lease", machine.name)
+                self._clear(machine, now)
+
+    def machine_gone(self, name: str, now: timedelta) -> None:
+        """The cloud has confirmed that the machine and everything on it are gone."""
+        self.gone[name] = now
+        machine = self.machines.get(name)
+        if machine is None:
+            return
+        self._clear(machine, now)
+        del self.machines[name]
+        self.changed = True
+
+    def _clear(self, machine: Machine, now: timedelta) -> None:
+        for attempt in list(machine.attempts.values()):
+            self.events["lost"] += 1
+            self._member_gone(attempt, now)
+            # The stop of other members may have released this one as well.
+            if attempt.key in machine.attempts:
+                self.release(attempt, now)
+        machine.exited.clear()
+
+    # -- records ---------------------------------------------------------------------------
+
+    def record(self, machine: Machine) -> MachineRecord:
+        return MachineRecord(
+            machine.machine_type,
+            machine.zone,
+            machine.spot,
+            machine.address,
+            machine.session,
+            sorted(
+                machine.wanted_record(), key=lambda task: (task.job_id, task.index, task.attempt)
+            ),
+        )
+
+    def recorded(self, machine: Machine, tasks: Iterable[PlacedTask]) -> None:
+        """The state service holds this record of the machine now."""
+        written = frozenset(tasks)
+        machine.recorded = written or None
+        for attempt in machine.attempts.values():
+            if attempt.placed_task in written:
+                attempt.durable = True
+
+    def chunks_to_write(self, job: Job) -> set[int]:
+        return {index // CHUNK for index in job.finished - job.durable}
+
+    # -- sums ------------------------------------------------------------------------------
+
+    def usage(self) -> dict[str, tuple[float, float]]:
+        """(cpus, gpus) per team of everything that may be on a machine."""
+        used: dict[str, list[float]] = {name: [0.0, 0.0] for name in self.teams}
+        for job in self.jobs.values():
+            count = sum(len(attempts) for attempts in job.attempts.values())
+            if count and job.spec.team in used:
+                entry = used[job.spec.team]
+                entry[0] += count * job.spec.cpus
+                entry[1] += count * job.spec.gpus
+        return {name: (entry[0], entry[1]) for name, entry in used.items()}
+
+    def zones_of(self, job: Job) -> Counter[str]:
+        zones: Counter[str] = Counter()
+        for attempt in job.all_attempts():
+            machine = self.machines.get(attempt.machine)
+            if machine is not None:
+                zones[machine.zone] += 1
+        return zones
+
+    def live_jobs(self) -> Iterator[Job]:
+        return (job for job in self.jobs.values() if not job.over)
+
+
+def _ghost(
+    job_id: str, team: str = "", cpus: float = 0.0, gpus: float = 0.0, memory_gb: float = 0.0
+) -> Job:
+    """Stands for a job that is over, of which a task may still be on a machine."""
+    spec = Submission(
+        job_id, "", team, Shape.ARRAY, Priority.LOW, 0, cpus, gpus, memory_gb, "", 0.0,
+        False, False, False, 0.0, 0.0, 0.0,
+    )  # fmt: skip
+    return Job(spec, ZERO, 0, over=True)
--- /dev/null
+++ b/micadeal/controller/dispatcher.py
@@ -0,0 +1,611 @@
+"""The leader's actor: owns the scheduler for one term and carries out what it decides."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+from datetime import datetime, timedelta
+from typing import Any
+
+import curio
+
+from micadeal.actor import Actor, Overloaded
+from micadeal.clock import seconds, sleep, steady, wall
+from micadeal.controller.cluster import Cluster, HigherToken
+from micadeal.controller.records import Changes, Recorder
+from micadeal.controller.scheduler import Scheduler
+from micadeal.fleet.cloud import LIST_EVERY, Cloud, CloudError, NoCapacity
+from micadeal.fleet.offers import Market
+from micadeal.http.client import fetch
+from micadeal.http.message import HttpError
+from micadeal.jobs.model import Job
+from micadeal.leadership.term import PeerContact, Power, Term
+from micadeal.operator import answers
+from micadeal.operator.platform import Platform
+from micadeal.operator.policy import Policy
+from micadeal.operator.script import policy_from_values
+from micadeal.state.service import Conflict, StateError, StateService, TooOld, Urgency
+from micadeal.wire.cloud import ListedMachine, MachineType, RentalRequest
+from micadeal.wire.codec import BadMessage, convert, decode, encode
+from micadeal.wire.state import (
+    Condition,
+    EndRecord,
+    Event,
+    FinishedRecord,
+    Item,
+    JobRecord,
+    MachineRecord,
+    SettingsRecord,
+)
+from micadeal.wire.workers import DirectOrders, Orders, Report
+
+log = logging.getLogger(__name__)
+
+TICK = timedelta(milliseconds=250)
+WATCH_HOLD = timedelta(seconds=2)
+DIRECT_TIME = seconds(3)
+CATALOG_EVERY = seconds(60)
+JOBS = "job/"
+SETTINGS = "settings"
+
+
+# -- messages --------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class ReportIn:
+    report: Report
+
+
+@dataclass(frozen=True, slots=True)
+class DirectAnswer:
+    """A worker's report in answer to a direct command."""
+
+    report: Report
+
+
+@dataclass(frozen=True, slots=True)
+class Extended:
+    valid_until: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class PeerNews:
+    peers: tuple[PeerContact | None, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Loaded:
+    """All that the state service held when the term began."""
+
+    jobs: list[Item]
+    machines: list[Item]
+    finished: list[Item]
+    ended: dict[str, EndRecord]
+    settings: Item | None
+
+
+@dataclass(frozen=True, slots=True)
+class JobEvents:
+    events: list[Event]
+    asked: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class JobsRead:
+    """All jobs read anew, after a watch had lost its place."""
+
+    items: list[Item]
+    asked: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class NewSettings:
+    item: Item | None
+
+
+@dataclass(frozen=True, slots=True)
+class CancelNotice:
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class CatalogRead:
+    types: list[MachineType]
+
+
+@dataclass(frozen=True, slots=True)
+class ListRead:
+    machines: list[ListedMachine]
+
+
+@dataclass(frozen=True, slots=True)
+class RentalAnswer:
+    request: RentalRequest
+    names: list[str] | None
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseAnswer:
+    names: list[str]
+    done: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Written:
+    changes: Changes
+    #: The revision; None: the outcome is unknown.
+    revision: int | None
+    #: Versions read after an unknown or failed outcome.
+    versions: dict[str, int] | None
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class CountsWanted:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class WhyWanted:
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class OverviewWanted:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """To a worker: status and body."""
+
+    status: int
+    body: Any = None
+
+
+class Dispatcher(Actor):
+    """Exists for one term.  ``resign`` is called when another leader is found to exist."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        state: StateService,
+        cloud: Cloud,
+        term: Term,
+        types: list[MachineType],
+        resign: Callable[[], None],
+    ) -> None:
+        super().__init__(bound=2000)
+        now = steady()
+        self._platform = platform
+        self._state = state
+        self._cloud = cloud
+        self._term = term
+        self._resign = resign
+        self._peers: list[PeerContact | None] = [None for _ in platform.peers]
+        self._cluster = Cluster(term.token, platform.workers, platform.teams, now)
+        self._scheduler = Scheduler(
+            self._cluster, Market(), Policy(), platform.objectives, now
+        )
+        if types:
+            self._scheduler.set_catalog(types)
+        self._recorder = Recorder(self._cluster, state.limits)
+        self._loaded = False
+        self._over = False
+        self._releasing = False
+        self._renting: RentalRequest | None = None
+        self._in_direct: set[str] = set()
+        self._tasks: set[Any] = set()
+
+    @property
+    def token(self) -> int:
+        return self._term.token
+
+    # -- life ------------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        try:
+            for work in (self._load, self._ticks, self._lists, self._catalogs):
+                await self._spawn(work)
+            await super().run()
+        finally:
+            self._over = True
+            for task in list(self._tasks):
+                await task.cancel(blocking=False)
+
+    async def _spawn(self, work: Callable[..., Awaitable[None]], *args: Any) -> None:
+        async def tracked() -> None:
+            try:
+                await work(*args)
+            except (curio.CancelledError, Overloaded):
+                pass
+            except Exception:
+                log.exception("a task of the leader failed")
+            finally:
+                self._tasks.discard(task)
+
+        task = await curio.spawn(tracked, daemon=True)
+        self._tasks.add(task)
+
+    def _power(self) -> Power:
+        workers = self._platform.workers
+        return self._term.power(steady(), self._peers, workers.lease, workers.cancel)
+
+    # -- messages --------------------------------------------------------------------------
+
+    async def receive(self, message: Any) -> Any:
+        result = self._take(message)
+        if self._loaded and self._power() is Power.FULL:
+            if isinstance(message, Tick) or (self._cluster.changed and self._mail.empty()):
+                self._scheduler.step(steady())
+            await self._act()
+        elif self._loaded:
+            await self._send_stops()
+        return result
+
+    def _take(self, message: Any) -> Any:
+        now = steady()
+        scheduler = self._scheduler
+        match message:
+            case ReportIn(report):
+                return self._report(report, now)
+            case DirectAnswer(report):
+                self._direct_answer(report, now)
+            case Extended(valid_until):
+                self._term = replace(self._term, valid_until=valid_until)
+            case PeerNews(peers):
+                self._peers = list(peers)
+            case JobEvents(events, asked):
+                for event in events:
+                    self._job_event(event, now)
+                self._informed(asked)
+            case JobsRead(items, asked):
+                self._jobs_read(items, now)
+                self._informed(asked)
+            case CancelNotice(job_id):
+                self._cluster.job_gone(job_id, now)
+            case Loaded():
+                self._take_over(message, now)
+            case NewSettings(item):
+                self._settings(item)
+            case CatalogRead(types):
+                scheduler.set_catalog(types)
+            case ListRead(machines):
+                scheduler.on_list(machines, now)
+            case RentalAnswer(request, names):
+                self._renting = None
+                if names is None:
+                    scheduler.rental_refused(request, now)
+                else:
+                    scheduler.rented(request, names, now)
+            case ReleaseAnswer(names, done):
+                self._releasing = False
+                if done:
+                    scheduler.released(names, now)
+            case Written():
+                self._written(message)
+            case CountsWanted():
+                return scheduler.counts()
+            case WhyWanted(job_id):
+                return answers.why(scheduler, job_id, now)
+            case OverviewWanted():
+                return answers.overview(
+                    scheduler,
+                    self._platform.name,
+                    now,
+                    contact=self._power() is Power.FULL,
+                )
+        return None
+
+    def _informed(self, asked: timedelta) -> None:
+        self._term = replace(self._term, informed=max(self._term.informed, asked))
+
+    # -- workers ---------------------------------------------------------------------------
+
+    def _report(self, report: Report, now: timedelta) -> Reply:
+        if report.token > self.token:
+            self._resign()
+            return Reply(503)
+        power = self._power()
+        if power is Power.NONE:
+            return Reply(503)
+        orders = []
+        if self._loaded:
+            full = power is Power.FULL
+            if report.machine in self._cluster.gone:
+                return Reply(503)
+            taken = self._scheduler.on_report(report, now, checkin=True, full=full)
+            if taken is None:
+                # An old report: the answer may still renew the lease, so its time counts.
+                self._cluster.machines[report.machine].heard = now
+            else:
+                orders = taken
+        return Reply(200, Orders(self.token, orders))
+
+    def _direct_answer(self, report: Report, now: timedelta) -> None:
+        try:
+            self._scheduler.on_report(report, now, checkin=False, full=False)
+        except HigherToken:
+            self._resign()
+
+    async def _send_stops(self) -> None:
+        """Stops go straight to the workers: they may be executed late without harm."""
+        for name in list(self._cluster.direct):
+            machine = self._cluster.machines.get(name)
+            if machine is None or not machine.address:
+                self._cluster.direct.discard(name)
+                continue
+            if name in self._in_direct or len(self._in_direct) >= 24:
+                continue
+            self._cluster.direct.discard(name)
+            self._in_direct.add(name)
+            message = DirectOrders(self.token, machine.session, self._cluster.stops_for(machine))
+            await self._spawn(self._direct, name, machine.address, message)
+
+    async def _direct(self, name: str, address: str, message: DirectOrders) -> None:
+        try:
+            _, body = await fetch(
+                address, "POST", "/commands", encode(message), timeout=DIRECT_TIME
+            )
+            await self.tell(DirectAnswer(decode(Report, body)))
+        except (HttpError, TimeoutError, BadMessage, ValueError) as problem:
+            log.debug("%s could not be commanded: %s", name, problem)
+        finally:
+            self._in_direct.discard(name)
+
+    # -- carrying out ----------------------------------------------------------------------
+
+    async def _act(self) -> None:
+        scheduler = self._scheduler
+        await self._send_stops()
+        for changes in self._recorder.next(steady()):
+            await self._spawn(self._write, changes)
+        if scheduler.rental is not None and self._renting is None:
+            self._renting = scheduler.rental
+            await self._spawn(self._rent, scheduler.rental)
+        if scheduler.releases and not self._releasing:
+            self._releasing = True
+            await self._spawn(self._release, sorted(scheduler.releases)[:100])
+
+    async def _write(self, changes: Changes) -> None:
+        """Write a batch; every change depends on our still being the leader, and on the version
+        last known of its key, so that a batch applied late can't undo a newer one."""
+        conditions = [Condition("leader", self.token), *changes.conditions]
+        revision: int | None = None
+        versions: dict[str, int] | None = None
+        try:
+            revision = await self._state.commit(
+                conditions, changes.operations, changes.urgency, timeout=seconds(3)
+            )
+        except Conflict:
+            versions = await self._read_versions(changes)
+        except StateError as problem:
+            log.debug("a write failed: %s", problem)
+            await sleep(seconds(0.2))
+            versions = await self._read_versions(changes)
+        await self.tell(Written(changes, revision, versions))
+
+    async def _read_versions(self, changes: Changes) -> dict[str, int]:
+        """After a failed or unknown outcome: what the service holds now."""
+        while True:
+            try:
+                leader = await self._state.get("leader", Urgency.LEASE)
+                if leader is None or leader.version != self.token:
+                    self._resign()
+                found: dict[str, int] = {}
+                for condition in changes.conditions:
+                    item = await self._state.get(condition.key, Urgency.PLACEMENT)
+                    found[condition.key] = item.version if item else 0
+                return found
+            except StateError:
+                await sleep(seconds(0.3))
+
+    def _written(self, message: Written) -> None:
+        if message.revision is not None:
+            self._recorder.committed(message.changes, message.revision, steady())
+        else:
+            self._recorder.failed(message.changes, message.versions or {}, steady())
+
+    async def _rent(self, request: RentalRequest) -> None:
+        """Ask until there is a definite answer: the same name never rents twice."""
+        names: list[str] | None = None
+        while True:
+            try:
+                names = await self._cloud.rent(request)
+                break
+            except NoCapacity:
+                break
+            except CloudError as problem:
+                log.debug("renting: %s", problem)
+                await sleep(seconds(1))
+        log.info("rental of %d %s: %s", request.count, request, names)
+        await self.tell(RentalAnswer(request, names))
+
+    async def _release(self, names: list[str]) -> None:
+        done = False
+        try:
+            await self._cloud.release(names)
+            done = True
+        except CloudError as problem:
+            log.debug("returning machines: %s", problem)
+            await sleep(seconds(0.5))
+        await self.tell(ReleaseAnswer(names, done))
+
+    # -- standing tasks --------------------------------------------------------------------
+
+    async def _ticks(self) -> None:
+        while True:
+            await sleep(TICK)
+            await self.tell(Tick())
+
+    async def _lists(self) -> None:
+        while True:
+            try:
+                await self.tell(ListRead(await self._cloud.machines()))
+                await sleep(LIST_EVERY)
+            except CloudError as problem:
+                log.debug("list of machines: %s", problem)
+                await sleep(seconds(1))
+
+    async def _catalogs(self) -> None:
+        while True:
+            try:
+                await self.tell(CatalogRead(await self._cloud.catalog()))
+                await sleep(CATALOG_EVERY)
+            except CloudError as problem:
+                log.debug("catalog: %s", problem)
+                await sleep(seconds(1))
+
+    async def _load(self) -> None:
+        """Read everything, then follow what changes."""
+        while True:
+            try:
+                asked = steady()
+                jobs, revision = await self._state.range(JOBS, Urgency.LEASE)
+                machines, _ = await self._state.range("machine/", Urgency.LEASE)
+                finished, _ = await self._state.range("done/", Urgency.LEASE)
+                settings = await self._state.get(SETTINGS, Urgency.LEASE)
+                ended = await self._ended(jobs, machines)
+                break
+            except StateError as problem:
+                log.info("loading: %s", problem)
+                await sleep(seconds(0.3))
+        await self.tell(Loaded(jobs, machines, finished, ended, settings))
+        await self.tell(JobEvents([], asked))
+        await self._spawn(self._follow_settings, revision)
+        await self._follow_jobs(revision)
+
+    async def _ended(self, jobs: list[Item], machines: list[Item]) -> dict[str, EndRecord]:
+        """End records of jobs that are over but may have tasks on machines: these count still."""
+        alive = {item.key[len(JOBS) :] for item in jobs}
+        over: set[str] = set()
+        for item in machines:
+            record = convert(MachineRecord, item.value)
+            over |= {task.job_id for task in record.tasks if task.job_id not in alive}
+        ended: dict[str, EndRecord] = {}
+        for job_id in sorted(over):
+            item_ = await self._state.get(f"end/{job_id}", Urgency.LEASE)
+            if item_ is not None:
+                ended[job_id] = convert(EndRecord, item_.value)
+        return ended
+
+    async def _follow_jobs(self, revision: int) -> None:
+        client = self._state.watch_client()
+        while True:
+            asked = steady()
+            try:
+                found = await self._state.changes(JOBS, revision, WATCH_HOLD, client)
+                revision = max(revision, found.revision)
+                await self.tell(JobEvents(found.events, asked))
+            except TooOld:
+                try:
+                    items, revision = await self._state.range(JOBS, Urgency.PLACEMENT)
+                    await self.tell(JobsRead(items, asked))
+                except StateError:
+                    await sleep(seconds(0.3))
+            except StateError as problem:
+                log.debug("watch of jobs: %s", problem)
+                await sleep(seconds(0.3))
+
+    async def _follow_settings(self, revision: int) -> None:
+        client = self._state.watch_client()
+        while True:
+            try:
+                found = await self._state.changes(SETTINGS, revision, seconds(50), client)
+                revision = max(revision, found.revision)
+                if not found.events:
+                    continue
+            except TooOld:
+                revision = 0
+            except StateError:
+                await sleep(seconds(2))
+                continue
+            try:
+                item = await self._state.get(SETTINGS)
+                if item is not None:
+                    revision = max(revision, item.version)
+                await self.tell(NewSettings(item))
+            except StateError:
+                await sleep(seconds(2))
+
+    # -- what the state service holds ------------------------------------------------------
+
+    def _take_over(self, loaded: Loaded, now: timedelta) -> None:
+        for item in loaded.jobs:
+            self._load_job(item, now)
+        for item in loaded.finished:
+            self._load_finished(item)
+        for job_id, end in loaded.ended.items():
+            self._cluster.load_ended(job_id, end)
+        for item in loaded.machines:
+            name = item.key.removeprefix("machine/")
+            self._recorder.versions[item.key] = item.version
+            self._cluster.load_machine(name, convert(MachineRecord, item.value), now)
+        for job in list(self._cluster.live_jobs()):
+            if job.complete:
+                self._cluster.finished_dirty.add(job.id)
+        self._settings(loaded.settings)
+        # Greet the recorded machines: their workers see the new token, drop whatever the last
+        # leader may still say, and show what they have.
+        self._cluster.direct |= set(self._cluster.machines)
+        self._loaded = True
+        log.info(
+            "took over %d jobs and %d machines", len(self._cluster.jobs), len(loaded.machines)
+        )
+
+    def _load_job(self, item: Item, now: timedelta) -> None:
+        try:
+            record = convert(JobRecord, item.value)
+        except BadMessage as problem:
+            log.error("unreadable record %s: %s", item.key, problem)
+            return
+        age = wall() - datetime.fromtimestamp(record.submitted_at, tz=wall().tzinfo)
+        self._scheduler.job_added(Job(record.submission, now - age, item.version), now)
+
+    def _load_finished(self, item: Item) -> None:
+        job_id, _, chunk = item.key.removeprefix("done/").rpartition("/")
+        self._recorder.versions[item.key] = item.version
+        job = self._cluster.jobs.get(job_id)
+        if job is None or not chunk.isdigit():
+            self._recorder.drop(item.key)
+            return
+        job.load_chunk(int(chunk), convert(FinishedRecord, item.value).bits)
+
+    def _job_event(self, event: Event, now: timedelta) -> None:
+        if event.drop is not None:
+            self._job_over(event.drop.removeprefix(JOBS), now)
+        elif event.put is not None:
+            self._load_job(Item(event.put, event.value, event.version), now)
+
+    def _job_over(self, job_id: str, now: timedelta) -> None:
+        job = self._cluster.jobs.get(job_id)
+        if job is not None:
+            for chunk in job.chunks:
+                self._recorder.drop(f"done/{job_id}/{chunk}")
+        self._cluster.job_gone(job_id, now)
+
+    def _jobs_read(self, items: list[Item], now: timedelta) -> None:
+        present = {item.key.removeprefix(JOBS) for item in items}
+        for job in list(self._cluster.live_jobs()):
+            if job.id not in present:
+                self._job_over(job.id, now)
+        for item in items:
+            self._load_job(item, now)
+
+    def _settings(self, item: Item | None) -> None:
+        """Take operators' settings up; if they make no sense, those in force stay."""
+        if item is None:
+            self._scheduler.policy = Policy()
+            return
+        try:
+            record = convert(SettingsRecord, item.value)
+            self._scheduler.policy = policy_from_values(record.values)
+        except ValueError as problem:
+            log.error("the stored settings are refused: %s", problem)
+
--- /dev/null
+++ b/micadeal/controller/node.py
@@ -0,0 +1,322 @@
+"""One controller: its servers, its part in the election, and the leader's actor while it leads."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Any
+
+import curio
+
+from micadeal.actor import Overloaded, keep_running
+from micadeal.clock import seconds, sleep, steady
+from micadeal.controller.dispatcher import (
+    CancelNotice,
+    CountsWanted,
+    Dispatcher,
+    Extended,
+    OverviewWanted,
+    PeerNews,
+    Reply,
+    ReportIn,
+    WhyWanted,
+)
+from micadeal.controller.mesh import Mesh
+from micadeal.fleet.cloud import Cloud, CloudError
+from micadeal.fleet.gate import Gate, Way
+from micadeal.http.message import Answer, HttpError, Request, answer, error
+from micadeal.http.server import Server
+from micadeal.jobs.desk import Desk
+from micadeal.leadership.election import Deposed, Elected, Election, LeaderSeen, Renewed
+from micadeal.operator.platform import Platform
+from micadeal.state.service import Limits, StateService
+from micadeal.wire.codec import BadMessage, decode
+from micadeal.wire.mesh import Notice, Overview, Ping, Pong, Relay, Relayed, WhyAnswer
+from micadeal.wire.workers import Redirect, Report
+
+log = logging.getLogger(__name__)
+
+REPORT_TIME = seconds(3)
+ASK_TIME = seconds(1.5)
+#: Without an answer of the state service for this long, a controller whose peers have one is of
+#: no use to users.
+CONTACT_TIME = seconds(5)
+RETRY = seconds(1)
+
+
+class Node:
+    def __init__(self, platform: Platform) -> None:
+        self._platform = platform
+        limits = Limits(
+            platform.state.rps,
+            platform.state.write_rps,
+            platform.state.txn_ops,
+            int(platform.state.value_kb * 1024),
+        )
+        self._state = StateService(platform.state_address, limits)
+        self._cloud = Cloud(platform.cloud_address, platform.cloud_rps)
+        self._mesh = Mesh(platform.name, platform.peers)
+        self._desk = Desk(self._state, platform.teams, self._cancelled)
+        self._gate = Gate()
+        self._election = Election(platform.name, self._state, self._on_election)
+        self._dispatcher: Dispatcher | None = None
+        self._term_task: Any = None
+        self._leader: str | None = None
+
+    async def run(self) -> None:
+        most = self._platform.max_connections
+        api = Server(self._platform.listen, self._serve_api, int(most * 0.7))
+        mesh = Server(self._platform.mesh, self._serve_mesh, int(most * 0.1))
+        async with curio.TaskGroup() as group:
+            for name, work in (
+                ("users' server", api.run),
+                ("mesh server", mesh.run),
+                ("election", self._election.run),
+                ("mesh", self._run_mesh),
+                ("catalog", self._catalog),
+            ):
+                await group.spawn(keep_running, name, work)
+
+    async def _run_mesh(self) -> None:
+        await self._mesh.run(self._on_pong)
+
+    async def _catalog(self) -> None:
+        """Followers need the machine types to judge submissions; they change rarely."""
+        while True:
+            try:
+                self._desk.set_catalog(await self._cloud.catalog())
+                await sleep(seconds(300))
+            except CloudError as problem:
+                log.debug("catalog: %s", problem)
+                await sleep(seconds(1))
+
+    # -- election --------------------------------------------------------------------------
+
+    async def _on_election(self, event: Elected | Renewed | Deposed | LeaderSeen) -> None:
+        match event:
+            case Elected(term):
+                self._set_leader(self._platform.name)
+                self._dispatcher = Dispatcher(
+                    self._platform,
+                    self._state,
+                    self._cloud,
+                    term,
+                    self._desk.types,
+                    self._election.resign,
+                )
+                self._term_task = await curio.spawn(self._dispatcher.run, daemon=True)
+            case Renewed(_, valid_until):
+                await self._tell(Extended(valid_until))
+            case Deposed():
+                self._dispatcher = None
+                self._set_leader(None)
+                if self._term_task is not None:
+                    await self._term_task.cancel(blocking=False)
+            case LeaderSeen(controller):
+                self._set_leader(controller)
+
+    def _set_leader(self, name: str | None) -> None:
+        if name != self._leader:
+            log.info("leader: %s", name)
+        self._leader = name
+        self._mesh.leader = name
+
+    async def _tell(self, message: Any) -> None:
+        if self._dispatcher is not None:
+            try:
+                await self._dispatcher.tell(message)
+            except Overloaded:
+                log.warning("the leader's mailbox is full")
+
+    async def _on_pong(self, name: str, pong: Pong) -> None:
+        if self._dispatcher is not None:
+            await self._tell(PeerNews(self._mesh.contacts()))
+            self._desk.set_counts(await self._dispatcher.ask(CountsWanted(), ASK_TIME))
+        elif pong.leading and name == self._leader:
+            self._desk.set_counts(pong.counts)
+
+    async def _cancelled(self, job_id: str) -> None:
+        if self._dispatcher is not None:
+            await self._tell(CancelNotice(job_id))
+        elif self._leader is not None:
+            await curio.spawn(self._mesh.notify_cancel, job_id, self._leader, daemon=True)
+
+    # -- users and workers -----------------------------------------------------------------
+
+    async def _serve_api(self, request: Request) -> Answer:
+        path = request.path
+        if path == "/checkin":
+            return await _only("POST", request, self._checkin)
+        if path == "/work":
+            return await _only("POST", request, self._submit)
+        if path == "/ready":
+            return await _only("GET", request, self._ready)
+        if path == "/overview":
+            return await _only("GET", request, self._overview)
+        parts = path.split("/")
+        if len(parts) == 3 and parts[1] == "work":
+            return await _only("GET", request, self._status)
+        if len(parts) == 4 and parts[1] == "work" and parts[3] == "abort":
+            return await _only("POST", request, self._cancel)
+        if len(parts) == 3 and parts[1] == "why":
+            return await _only("GET", request, self._why)
+        return error(404, "no such path")
+
+    async def _submit(self, request: Request) -> Answer:
+        return await self._desk.submit(request.body)
+
+    async def _status(self, request: Request) -> Answer:
+        return await self._desk.status(request.path.split("/")[2])
+
+    async def _cancel(self, request: Request) -> Answer:
+        return await self._desk.cancel(request.path.split("/")[2])
+
+    async def _ready(self, _: Request) -> Answer:
+        """Whether users are better served here than elsewhere.
+
+        In an outage that all share, dropping out would only add the balancer's pause.
+        """
+        if not self._desk.types:
+            return error(503, "the machine types are not known yet")
+        contact = self._state.answered
+        now = steady()
+        if contact is not None and now - contact < CONTACT_TIME:
+            return answer(200, {"ready": True})
+        elsewhere = self._mesh.latest_state_contact()
+        if elsewhere is not None and now - elsewhere < CONTACT_TIME:
+            return error(503, "no touch with the state service")
+        return answer(200, {"ready": True})
+
+    async def _checkin(self, request: Request) -> Answer:
+        try:
+            report = decode(Report, request.body)
+        except BadMessage as problem:
+            return error(400, str(problem))
+        now = steady()
+        way = self._gate.way(report.machine, self._dispatcher is not None, self._leader, now)
+        if way is Way.HERE:
+            reply = await self._take_report(report)
+            if reply.status == 503 and self._leader not in (None, self._platform.name):
+                return answer(421, Redirect(self._leader))
+            return answer(reply.status, reply.body)
+        if way is Way.REDIRECT and self._leader != self._platform.name:
+            return answer(421, Redirect(self._leader))
+        if way is Way.RELAY and self._leader not in (None, self._platform.name):
+            try:
+                relayed = await self._mesh.relay(report, self._leader or "")
+            except HttpError as problem:
+                log.debug("relaying for %s: %s", report.machine, problem)
+                self._gate.relay_failed(report.machine)
+                return error(503, "the leader can't be reached")
+            if relayed.status == 200:
+                self._gate.relayed(report.machine, steady())
+            return answer(relayed.status, relayed.body)
+        return error(503, "no leader")
+
+    async def _take_report(self, report: Report) -> Reply:
+        dispatcher = self._dispatcher
+        if dispatcher is None:
+            return Reply(503)
+        try:
+            reply = await dispatcher.ask(ReportIn(report), REPORT_TIME)
+        except (Overloaded, TimeoutError):
+            return Reply(503)
+        assert isinstance(reply, Reply)
+        # The term may have ended while the report waited.
+        return reply if self._dispatcher is dispatcher else Reply(503)
+
+    # -- operators -------------------------------------------------------------------------
+
+    async def _why(self, request: Request) -> Answer:
+        job_id = request.path.split("/")[2]
+        found = await self._ask_leader(WhyWanted(job_id), "/why", Notice(job_id), WhyAnswer | None)
+        if isinstance(found, Answer):
+            return found
+        return error(404, "not waiting or running: see its status") if found is None else answer(
+            200, found
+        )
+
+    async def _overview(self, _: Request) -> Answer:
+        found = await self._ask_leader(OverviewWanted(), "/overview", None, Overview)
+        return found if isinstance(found, Answer) else answer(200, found)
+
+    async def _ask_leader(self, message: Any, path: str, wire: Any, kind: Any) -> Any:
+        try:
+            if self._dispatcher is not None:
+                return await self._dispatcher.ask(message, ASK_TIME)
+            if self._leader is None:
+                return error(503, "no leader at the moment", RETRY)
+            return await self._mesh.send(self._leader, path, wire, kind, ASK_TIME)
+        except (HttpError, TimeoutError, Overloaded):
+            return error(503, f"the leader {self._leader} does not answer", RETRY)
+
+    # -- controllers -----------------------------------------------------------------------
+
+    async def _serve_mesh(self, request: Request) -> Answer:
+        handlers: dict[str, Callable[[Request], Awaitable[Answer]]] = {
+            "/ping": self._on_ping,
+            "/relay": self._on_relay,
+            "/notice": self._on_notice,
+            "/why": self._on_why,
+            "/overview": self._on_overview,
+        }
+        handler = handlers.get(request.path)
+        if handler is None:
+            return error(404, "no such path")
+        try:
+            return await _only("POST", request, handler)
+        except (BadMessage, Overloaded, TimeoutError) as problem:
+            return error(503, str(problem) or type(problem).__name__)
+
+    async def _on_ping(self, request: Request) -> Answer:
+        ping = decode(Ping, request.body)
+        counts = []
+        if ping.wants_counts and self._dispatcher is not None:
+            counts = await self._dispatcher.ask(CountsWanted(), timedelta(milliseconds=500))
+        contact = self._state.answered
+        age = None if contact is None else (steady() - contact).total_seconds() * 1000
+        return answer(
+            200,
+            Pong(
+                self._platform.name,
+                age,
+                self._dispatcher is not None,
+                self._leader,
+                counts,
+                self._mesh.reaches(),
+            ),
+        )
+
+    async def _on_relay(self, request: Request) -> Answer:
+        relay = decode(Relay, request.body)
+        if self._dispatcher is None and self._leader not in (None, self._platform.name):
+            try:
+                return answer(200, await self._mesh.relay(relay.report, self._leader or "", 0))
+            except HttpError as problem:
+                return error(503, str(problem))
+        reply = await self._take_report(relay.report)
+        return answer(200, Relayed(reply.status, reply.body))
+
+    async def _on_notice(self, request: Request) -> Answer:
+        await self._tell(CancelNotice(decode(Notice, request.body).job_id))
+        return answer(200, True)
+
+    async def _on_why(self, request: Request) -> Answer:
+        if self._dispatcher is None:
+            return error(503, "not leading")
+        job_id = decode(Notice, request.body).job_id
+        return answer(200, await self._dispatcher.ask(WhyWanted(job_id), ASK_TIME))
+
+    async def _on_overview(self, _: Request) -> Answer:
+        if self._dispatcher is None:
+            return error(503, "not leading")
+        return answer(200, await self._dispatcher.ask(OverviewWanted(), ASK_TIME))
+
+
+async def _only(
+    method: str, request: Request, handler: Callable[[Request], Awaitable[Answer]]
+) -> Answer:
+    if request.method != method:
+        return error(405, f"only {method} here")
+    return await handler(request)
--- /dev/null
+++ b/micadeal/controller/plan.py
@@ -0,0 +1,578 @@
+"""One scheduling pass: hand out room, hold room for what waits, wish for machines, pick victims.
+
+Pure but for the attempts that it adds to the cluster; the caller writes them down and starts them.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+
+from micadeal.controller.cluster import Cluster
+from micadeal.fleet.model import Machine
+from micadeal.fleet.offers import Market, Offer
+from micadeal.jobs.model import Job
+from micadeal.operator.policy import Policy
+from micadeal.placement.rooms import (
+    EPSILON,
+    Room,
+    ZoneRule,
+    allowed,
+    choose,
+    choose_gang,
+)
+from micadeal.sharing.order import RANK, team_key
+from micadeal.sharing.shares import Claim, fair_shares
+from micadeal.sharing.starvation import StarvationTimer
+from micadeal.sharing.victims import Victim, choose_victims, may_kill
+from micadeal.wire.cloud import MachineType
+from micadeal.wire.state import PlacedTask
+from micadeal.wire.users import Submission
+
+RESOURCES = ("gpus", "cpus")
+#: New machines wished for in one pass, however much waits.
+MOST_WISHES = 40
+#: A machine that has not been heard of for so many report intervals gets no new work.
+SILENT_REPORTS = 2.6
+
+
+@dataclass(slots=True)
+class TeamState:
+    """What a pass knows of one team and one resource."""
+
+    minimum: float
+    weight: float
+    used: float = 0.0
+    demand: float = 0.0
+    share: float = 0.0
+
+
+@dataclass(slots=True)
+class Plan:
+    placed: list[PlacedTask] = field(default_factory=list)
+    rentals: Counter[Offer] = field(default_factory=Counter)
+    #: Machines, up or booting, on which room is held for something that waits.
+    held: set[str] = field(default_factory=set)
+    #: For spare room: machines that are kept though nothing waits for them.
+    spare: set[str] = field(default_factory=set)
+    kills: list[Victim] = field(default_factory=list)
+    teams: dict[str, dict[str, TeamState]] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Expected:
+    """Work of a class that is likely to come before a machine could be rented for it."""
+
+    spec: Submission
+    tasks: int
+
+
+def build_rooms(cluster: Cluster, now: timedelta) -> list[Room]:
+    silence = cluster.workers.report * SILENT_REPORTS
+    rooms: list[Room] = []
+    for machine in cluster.machines.values():
+        kind = cluster.types.get(machine.machine_type)
+        if kind is None or machine.leaving or machine.lost or machine.notice_end is not None:
+            continue
+        usable = machine.usable(now, silence)
+        if not usable and machine.up and machine.knows_us:
+            continue
+        rooms.append(_room(cluster, machine, kind, usable, now))
+    return rooms
+
+
+def _room(
+    cluster: Cluster, machine: Machine, kind: MachineType, usable: bool, now: timedelta
+) -> Room:
+    room = Room(
+        machine.name,
+        machine.machine_type,
+        machine.zone,
+        machine.spot,
+        kind.cpus,
+        kind.gpus,
+        kind.memory_gb,
+        up=usable,
+        since=machine.rented,
+    )
+    cached = set(machine.images)
+    fetching: set[str] = set()
+    for attempt in machine.attempts.values():
+        spec = cluster.jobs[attempt.job_id].spec
+        room.book(spec)
+        if attempt.running_since is None and spec.image in cached:
+            fetching.add(spec.image)
+    room.booked = 0
+    room.images = frozenset(_in_cache(cluster, machine, kind) - fetching)
+    room.fetching = frozenset(fetching)
+    return room
+
+
+def _in_cache(cluster: Cluster, machine: Machine, kind: MachineType) -> set[str]:
+    """Images that the machine still holds, as far as sizes seen in jobs tell."""
+    kept: set[str] = set()
+    total = 0.0
+    for image in sorted(machine.images, key=lambda name: machine.images[name], reverse=True):
+        total += cluster.image_sizes.get(image, 0.0)
+        if total > kind.cache_gb > 0:
+            break
+        kept.add(image)
+    return kept
+
+
+class Pass:
+    """The state of one pass."""
+
+    def __init__(
+        self,
+        cluster: Cluster,
+        market: Market,
+        policy: Policy,
+        timers: dict[tuple[str, str], StarvationTimer],
+        expected: Iterable[Expected],
+        now: timedelta,
+        *,
+        may_rent: bool,
+    ) -> None:
+        self.cluster = cluster
+        self.market = market
+        self.policy = policy
+        self.timers = timers
+        self.expected = list(expected)
+        self.now = now
+        self.may_rent = may_rent
+        self.plan = Plan()
+        self.rooms = build_rooms(cluster, now)
+        self.present = Counter(room.zone for room in self.rooms)
+        self.virtual: Counter[str] = Counter()
+        self._virtual_rooms: dict[str, list[Room]] = {}
+        self.wishes = 0
+        self.total: dict[str, tuple[float, float]] = cluster.usage()
+        self.unplaced: list[tuple[Job, bool]] = []
+        self.spot_scarce = self._spot_scarce()
+
+    def _spot_scarce(self) -> bool:
+        """Every spot offer was refused lately: what may use spot may then use ordinary too."""
+        spots = [
+            Offer(kind.name, zone, True)
+            for kind in self.market.types.values()
+            if kind.spot_price is not None
+            for zone in kind.zones
+        ]
+        return not spots or all(self.market.paused(offer, self.now) for offer in spots)
+
+    def run(self) -> Plan:
+        runnable = self._runnable()
+        for resource in RESOURCES:
+            jobs = [job for job in runnable if job.resource == resource]
+            states = self._team_states(resource, jobs)
+            # Production first: it is not to wait behind what may be stopped for it.  Within each
+            # round the order is the source's.
+            for production in (True, False):
+                self._hand_out([j for j in jobs if j.production is production], resource, states)
+        for work in self.expected:
+            self._keep_room(work)
+        for room in self.rooms:
+            if room.booked and not room.wish and not room.up:
+                self.plan.held.add(room.name)
+        self._pick_victims()
+        return self.plan
+
+    # -- demand ----------------------------------------------------------------------------
+
+    def _runnable(self) -> list[Job]:
+        """Jobs with something waiting, less those past their team's running limit (source, 4.7)."""
+        per_team: Counter[str] = Counter()
+        result: list[Job] = []
+        for job in sorted(self.cluster.live_jobs(), key=self._job_order):
+            if job.spec.team not in self.cluster.teams or job.complete:
+                continue
+            limit = self.policy.team(job.spec.team).running_jobs
+            per_team[job.spec.team] += 1
+            job.reasons.clear()
+            waiting = job.waiting_count()
+            if not waiting:
+                continue
+            if limit is not None and per_team[job.spec.team] > limit and not job.attempts:
+                job.reasons["the team's limit of running jobs is reached"] = waiting
+            elif job.is_gang and job.attempts:
+                job.reasons["the gang's last attempt is being brought to an end"] = waiting
+            elif self.now < job.retry_at:
+                job.reasons["backing off after errors"] = waiting
+            else:
+                result.append(job)
+        return result
+
+    def _job_order(self, job: Job) -> tuple[int, timedelta, str]:
+        rank, submitted, job_id = job.order
+        if self.policy.team(job.spec.team).order == "submitted":
+            rank = 0
+        return (rank, submitted, job_id)
+
+    def _team_states(self, resource: str, jobs: list[Job]) -> dict[str, TeamState]:
+        place = RESOURCES.index(resource)
+        states: dict[str, TeamState] = {}
+        for name, team in self.cluster.teams.items():
+            used = self.total[name][1 - place]
+            states[name] = TeamState(
+                team.minimum(resource), self.policy.team(name).weight, used, used
+            )
+        for job in jobs:
+            states[job.spec.team].demand += self._waiting(job) * job.units
+        for name, state in states.items():
+            limit = self.cluster.teams[name].limit(resource)
+            if limit is not None:
+                state.demand = min(state.demand, limit)
+        names = list(states)
+        slots = sum(
+            kind.gpus if resource == "gpus" else kind.cpus
+            for room in self.rooms
+            if (kind := self.cluster.types.get(room.machine_type))
+        )
+        # What can be had, not only what is rented now: unless the cloud refuses, more can be had.
+        demanded = sum(state.demand for state in states.values())
+        if self.may_rent and not self.market.any_paused(self.now):
+            slots = max(slots, demanded)
+        shares = fair_shares(
+            [Claim(states[n].demand, states[n].weight, states[n].minimum) for n in names], slots
+        )
+        for name, share in zip(names, shares, strict=True):
+            states[name].share = share
+        self.plan.teams[resource] = states
+        return states
+
+    def _waiting(self, job: Job) -> int:
+        return job.waiting_count() - self.virtual[job.id]
+
+    # -- handing out -----------------------------------------------------------------------
+
+    def _hand_out(self, jobs: list[Job], resource: str, states: dict[str, TeamState]) -> None:
+        queues: dict[str, list[Job]] = {}
+        for job in jobs:
+            queues.setdefault(job.spec.team, []).append(job)
+        for queue in queues.values():
+            queue.reverse()
+        while queues:
+            name = min(
+                queues,
+                key=lambda n: (*team_key(states[n].used, states[n].minimum, states[n].weight), n),
+            )
+            job = queues[name][-1]
+            units = self._gang(job) if job.is_gang else self._task(job)
+            if units:
+                states[name].used += units
+            if not units or not self._waiting(job):
+                # The job passes (source, 4.2): the next one of the team is asked.
+                queues[name].pop()
+                if not queues[name]:
+                    del queues[name]
+
+    def _limit_reason(self, job: Job, tasks: int) -> str | None:
+        team = self.cluster.teams[job.spec.team]
+        cpus, gpus = self.total[team.name]
+        spec = job.spec
+        if spec.cpus and team.cpus_max and cpus + tasks * spec.cpus > team.cpus_max + EPSILON:
+            return "the team's limit of cores is reached"
+        if spec.gpus and team.gpus_max and gpus + tasks * spec.gpus > team.gpus_max + EPSILON:
+            return "the team's limit of accelerators is reached"
+        return None
+
+    def _count(self, job: Job, tasks: int) -> None:
+        cpus, gpus = self.total[job.spec.team]
+        self.total[job.spec.team] = (cpus + tasks * job.spec.cpus, gpus + tasks * job.spec.gpus)
+
+    def _open_rooms(self, job: Job) -> list[Room]:
+        """Rooms for this job: not where it failed, as long as there are others."""
+        if not job.errors:
+            return self.rooms
+        return [room for room in self.rooms if room.name not in job.errors] or self.rooms
+
+    def _task(self, job: Job) -> float:
+        """Book one task; its units, or 0 if the job passes."""
+        waiting = self._waiting(job)
+        if reason := self._limit_reason(job, 1):
+            job.reasons[reason] += waiting
+            return 0.0
+        if len(job.errors) > 1 and job.attempts:
+            job.reasons["only one task at a time is tried after errors on several machines"] += waiting
+            return 0.0
+        rule = ZoneRule(job.spec, self._zones(job))
+        room = choose(job.spec, self._open_rooms(job), rule, self.spot_scarce)
+        if room is None:
+            room = self._wish(job.spec, rule)
+        if room is None:
+            job.reasons[self._no_room_reason(job)] += waiting
+            self.unplaced.append((job, False))
+            return 0.0
+        room.book(job.spec)
+        self._book(job, room, None)
+        return job.units
+
+    def _zones(self, job: Job) -> Counter[str]:
+        zones = self.cluster.zones_of(job)
+        if self.virtual[job.id]:
+            for room in self._virtual_rooms.get(job.id, ()):
+                zones[room.zone] += 1
+        return zones
+
+    def _book(self, job: Job, room: Room, number: int | None) -> None:
+        self._count(job, 1)
+        index = job.next_waiting()
+        if room.up and index is not None:
+            machine = self.cluster.machines[room.name]
+            attempt = self.cluster.place(
+                job, index, number or self.cluster.next_number(), machine, self.now
+            )
+            self.plan.placed.append(attempt.placed_task)
+            return
+        self.virtual[job.id] += 1
+        self._virtual_rooms.setdefault(job.id, []).append(room)
+        if room.wish:
+            job.reasons["a machine is being rented"] += 1
+        else:
+            job.reasons["a machine for it is still booting"] += 1
+        self.unplaced.append((job, True))
+
+    def _gang(self, job: Job) -> float:
+        """Book all tasks of a gang, or none."""
+        spec = job.spec
+        if reason := self._limit_reason(job, spec.tasks):
+            job.reasons[reason] += spec.tasks
+            return 0.0
+        rooms = self._open_rooms(job)
+        found = choose_gang(spec, rooms, self.spot_scarce)
+        if found is None:
+            wishes = self._gang_wishes(spec)
+            found = choose_gang(spec, [*rooms, *wishes], self.spot_scarce)
+            taken = [room for room in wishes if room.booked]
+            self.rooms.extend(taken)
+            for room in taken:
+                self._count_wish(room)
+        if found is None:
+            job.reasons[self._no_room_reason(job)] += spec.tasks
+            self.unplaced.append((job, False))
+            return 0.0
+        if all(room.up for room in found):
+            number = self.cluster.next_number()
+            for room in found:
+                self._book(job, room, number)
+        else:
+            # Room is held on the machines that are up already, or it would never come together.
+            self._count(job, spec.tasks)
+            self.virtual[job.id] += spec.tasks
+            self._virtual_rooms[job.id] = found
+            self.plan.held.update(room.name for room in found if not room.wish)
+            job.reasons["room for the whole gang is being gathered"] += spec.tasks
+            self.unplaced.append((job, True))
+        return job.units * spec.tasks
+
+    # -- renting ---------------------------------------------------------------------------
+
+    def _new_room(self, offer: Offer, kind: MachineType) -> Room:
+        return Room(
+            f"wish {offer.zone} {self.wishes} {len(self.rooms)}",
+            offer.machine_type,
+            offer.zone,
+            offer.spot,
+            kind.cpus,
+            kind.gpus,
+            kind.memory_gb,
+            up=False,
+            wish=True,
+            since=self.now,
+        )
+
+    def _count_wish(self, room: Room) -> None:
+        self.wishes += 1
+        self.present[room.zone] += 1
+        self.plan.rentals[Offer(room.machine_type, room.zone, room.spot)] += 1
+
+    def _wish(self, spec: Submission, rule: ZoneRule) -> Room | None:
+        if not self.may_rent or self.wishes >= MOST_WISHES:
+            return None
+        for offer, kind in self.market.choices(spec, self.now, self.present):
+            if rule.permits(offer.zone):
+                room = self._new_room(offer, kind)
+                self.rooms.append(room)
+                self._count_wish(room)
+                return room
+        return None
+
+    def _gang_wishes(self, spec: Submission) -> list[Room]:
+        """Rooms that could be rented for a gang, of the cheapest kind open in each zone."""
+        if not self.may_rent or self.wishes >= MOST_WISHES:
+            return []
+        seen: set[str] = set()
+        wishes: list[Room] = []
+        for offer, kind in self.market.choices(spec, self.now, self.present):
+            if offer.zone not in seen:
+                seen.add(offer.zone)
+                wishes += [self._new_room(offer, kind) for _ in range(min(spec.tasks, MOST_WISHES))]
+        return wishes
+
+    def _no_room_reason(self, job: Job) -> str:
+        if not self.may_rent:
+            return "no room, and renting waits until the machines have been counted"
+        if self.wishes >= MOST_WISHES:
+            return "no room; many machines are being rented already"
+        offers = list(self.market.choices(job.spec, self.now, self.present))
+        if not offers:
+            return "no room, and the cloud refused to rent more a moment ago"
+        return "no room in a zone that the job's other tasks leave open"
+
+    def _keep_room(self, work: Expected) -> None:
+        """Hold room for work of a class whose tasks are to start sooner than a machine boots."""
+        for _ in range(work.tasks):
+            rule = ZoneRule(work.spec)
+            room = choose(work.spec, self.rooms, rule, False)
+            if room is None:
+                room = self._wish(work.spec, rule)
+            if room is None:
+                return
+            room.book(work.spec)
+            if not room.wish:
+                self.plan.spare.add(room.name)
+
+    # -- victims ---------------------------------------------------------------------------
+
+    def _pick_victims(self) -> None:
+        needy = self._needy()
+        if not needy:
+            return
+        rooms, victims = self._victims()
+        for job, tasks, for_guarantee, resource in needy:
+            states = self.plan.teams[resource]
+            surplus = {
+                name: state.used - min(state.minimum, state.demand)
+                for name, state in states.items()
+            }
+            rule = ZoneRule(job.spec, self.cluster.zones_of(job))
+            for _ in range(tasks):
+                chosen = self._victims_for(job, rule, rooms, victims, for_guarantee, surplus)
+                if chosen is None:
+                    break
+                for victim in chosen:
+                    self.plan.kills.append(victim)
+                    states[victim.team].used -= victim.units
+                    for machine in {entry[0] for entry in victim.frees}:
+                        victims[machine] = [v for v in victims[machine] if v is not victim]
+
+    def _needy(self) -> list[tuple[Job, int, bool, str]]:
+        """Jobs for which something may be killed, how many tasks, and whether for a guarantee."""
+        result: list[tuple[Job, int, bool, str]] = []
+        lacking: dict[tuple[str, str], tuple[float, bool]] = {}
+        for resource, states in self.plan.teams.items():
+            for name, state in states.items():
+                timer = self.timers.setdefault((name, resource), StarvationTimer(self.now, self.now))
+                used = self.cluster.usage()[name][1 - RESOURCES.index(resource)]
+                team = self.policy.team(name)
+                timer.update(self.now, used, state.demand, state.minimum, state.share)
+                lacking[name, resource] = timer.lacks(
+                    self.now,
+                    used,
+                    state.demand,
+                    state.minimum,
+                    state.share,
+                    team.minimum_timeout or self.policy.minimum_timeout,
+                    self.policy.share_timeout,
+                )
+        seen: set[str] = set()
+        for job, _ in self.unplaced:
+            if job.id in seen or job.is_gang and job.spec.tasks > 1:
+                continue
+            seen.add(job.id)
+            count = job.waiting_count()
+            units, for_guarantee = lacking[job.spec.team, job.resource]
+            if job.production:
+                result.append((job, count, for_guarantee, job.resource))
+            elif units >= job.units - EPSILON:
+                tasks = min(count, int(units / job.units + EPSILON))
+                lacking[job.spec.team, job.resource] = (units - tasks * job.units, for_guarantee)
+                result.append((job, tasks, for_guarantee, job.resource))
+        return result
+
+    def _victims(self) -> tuple[dict[str, Room], dict[str, list[Victim]]]:
+        """Rooms as they will be when all that is stopping has stopped, and what could be killed."""
+        rooms = {room.name: replace(room) for room in build_rooms(self.cluster, self.now) if room.up}
+        by_machine: dict[str, list[Victim]] = {}
+        for job in self.cluster.live_jobs():
+            if job.production or job.is_service:
+                groups: list[list] = []
+            elif job.is_gang:
+                groups = [list(job.all_attempts())]
+            else:
+                groups = [[attempt] for attempt in job.all_attempts()]
+            for group in groups:
+                running = [a for a in group if a.stop is None]
+                if not running:
+                    continue
+                victim = Victim(
+                    job.id,
+                    job.spec.team,
+                    RANK[job.spec.priority],
+                    min(a.placed for a in running),
+                    tuple(
+                        (a.machine, job.spec.cpus, job.spec.gpus, job.spec.memory_gb)
+                        for a in running
+                    ),
+                    job.units * len(running),
+                    None if job.is_gang else running[0].index,
+                    job.can_save,
+                )
+                for machine in {a.machine for a in running}:
+                    by_machine.setdefault(machine, []).append(victim)
+        for machine in self.cluster.machines.values():
+            room = rooms.get(machine.name)
+            if room is None:
+                continue
+            for attempt in machine.attempts.values():
+                if attempt.stop is not None:
+                    room.unbook(self.cluster.jobs[attempt.job_id].spec)
+        return rooms, by_machine
+
+    def _victims_for(
+        self,
+        job: Job,
+        rule: ZoneRule,
+        rooms: dict[str, Room],
+        victims: dict[str, list[Victim]],
+        for_guarantee: bool,
+        surplus: dict[str, float],
+    ) -> list[Victim] | None:
+        """Victims for one task; empty if room is about to be free; None if nothing can be done."""
+        spec = job.spec
+        usable = [
+            room
+            for room in rooms.values()
+            if allowed(spec, room.machine_type, room.zone, room.spot) and rule.permits(room.zone)
+        ]
+        for room in usable:
+            if room.fits(spec):
+                room.book(spec)
+                rule.zones[room.zone] += 1
+                return []
+        permitted = {
+            id(victim)
+            for offers in victims.values()
+            for victim in offers
+            if may_kill(victim, spec.team, RANK[spec.priority], for_guarantee, surplus)
+        }
+        chosen = choose_victims(spec, usable, victims, permitted)
+        if not chosen:
+            return None
+        for victim in chosen:
+            surplus[victim.team] = surplus.get(victim.team, 0.0) - victim.units
+            for machine, cpus, gpus, memory in victim.frees:
+                room = rooms.get(machine)
+                if room is not None:
+                    room.cpus += cpus
+                    room.gpus += gpus
+                    room.memory_gb += memory
+        for room in usable:
+            if room.fits(spec):
+                room.book(spec)
+                rule.zones[room.zone] += 1
+                break
+        return chosen
--- /dev/null
+++ b/micadeal/controller/scheduler.py
@@ -0,0 +1,333 @@
+"""The leader's decisions over time: passes, machines that come and go, what operators ask.  No I/O."""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections import Counter, deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from micadeal.clock import DRIFT, ZERO, seconds
+from micadeal.controller.cluster import GRACE_MARGIN, LEASE_MARGIN, Cluster
+from micadeal.controller.plan import Expected, Pass, Plan
+from micadeal.fleet.model import Machine
+from micadeal.fleet.offers import Market, Offer
+from micadeal.jobs.model import Job
+from micadeal.operator.platform import Objective
+from micadeal.operator.policy import Policy
+from micadeal.sharing.starvation import StarvationTimer
+from micadeal.wire.cloud import ListedMachine, MachineType, RentalRequest
+from micadeal.wire.mesh import Counts
+from micadeal.wire.users import Submission
+from micadeal.wire.workers import Order, Report
+
+log = logging.getLogger(__name__)
+
+MOST_PER_RENTAL = 50
+#: Charged anyway (PROTOCOL, cloud): returning a machine earlier saves nothing.
+MINIMUM_CHARGE = seconds(60)
+#: An idle machine is kept this long past its minimum charge: work often follows work.
+IDLE_KEEP = seconds(6)
+#: A machine still booting after so many times its type's boot time is given up.
+BOOT_PATIENCE = 3.0
+#: A silent machine is given back when its lease and this have passed.
+SILENT_PATIENCE = seconds(45)
+#: How long after taking over renting waits for machines that have not reported yet.
+COUNTING_TIME = seconds(4)
+#: Times of arrivals kept per class.
+ARRIVALS = 40
+
+
+@dataclass(slots=True)
+class Arrivals:
+    """When jobs of a class came, and what the last of them looked like."""
+
+    times: deque[timedelta] = field(default_factory=lambda: deque(maxlen=ARRIVALS))
+    spec: Submission | None = None
+
+
+class Scheduler:
+    """One term's decisions.  ``step`` is called after events and at least twice a second."""
+
+    def __init__(
+        self,
+        cluster: Cluster,
+        market: Market,
+        policy: Policy,
+        objectives: Iterable[Objective],
+        now: timedelta,
+    ) -> None:
+        self.cluster = cluster
+        self.market = market
+        self.policy = policy
+        self.objectives = tuple(objectives)
+        self.timers: dict[tuple[str, str], StarvationTimer] = {}
+        self.plan = Plan()
+        self.rental: RentalRequest | None = None
+        #: Machines to be returned; stays filled until the cloud confirms.
+        self.releases: set[str] = set()
+        self.listed = False
+        self._rentals = 0
+        self._last_pass = timedelta.min
+        self._arrivals: dict[str, Arrivals] = {}
+        self._direct_again: dict[str, timedelta] = {}
+
+    # -- events ----------------------------------------------------------------------------
+
+    def set_catalog(self, types: Iterable[MachineType]) -> None:
+        self.market.types = {kind.name: kind for kind in types}
+        self.cluster.types = self.market.types
+        self.cluster.changed = True
+
+    def job_added(self, job: Job, now: timedelta) -> None:
+        if job.id in self.cluster.jobs:
+            return
+        self.cluster.add_job(job)
+        arrivals = self._arrivals.setdefault(job.spec.job_class, Arrivals())
+        arrivals.times.append(max(job.submitted, now - seconds(600)))
+        arrivals.spec = job.spec
+
+    def on_report(
+        self, report: Report, now: timedelta, *, checkin: bool, full: bool
+    ) -> list[Order] | None:
+        """Orders for the answer; None if the machine is gone for good or the report is old."""
+        machine = self.cluster.on_report(report, now, checkin)
+        if machine is None:
+            return None
+        return self.cluster.orders_for(machine, now, full) if checkin else []
+
+    def on_list(self, listed: Iterable[ListedMachine], now: timedelta) -> None:
+        self.listed = True
+        present: set[str] = set()
+        for entry in listed:
+            present.add(entry.name)
+            if entry.name in self.cluster.gone:
+                continue
+            machine = self.cluster.machines.get(entry.name)
+            if machine is None:
+                # Rented by an earlier leader, or by a request that was executed late.
+                machine = Machine(
+                    entry.name,
+                    entry.address,
+                    entry.machine_type,
+                    entry.zone,
+                    entry.spot,
+                    now,
+                    now - seconds(entry.age_s),
+                )
+                self.cluster.machines[entry.name] = machine
+                self.cluster.changed = True
+            machine.rented = min(machine.rented, now - seconds(entry.age_s))
+            machine.address = machine.address or entry.address
+            machine.missing_lists = 0
+            machine.listed = True
+            if entry.status == "failed" and not machine.listed_failed:
+                machine.listed_failed = True
+        for machine in self.cluster.machines.values():
+            if machine.name not in present and machine.listed:
+                machine.missing_lists += 1
+
+    def rented(self, request: RentalRequest, names: list[str], now: timedelta) -> None:
+        self.rental = None
+        offer = Offer(request.machine_type, request.zone, request.spot)
+        self.market.granted(offer)
+        if len(names) < request.count:
+            self.market.refused(offer, now)
+        for name in names:
+            if name not in self.cluster.machines and name not in self.cluster.gone:
+                self.cluster.machines[name] = Machine(
+                    name, "", request.machine_type, request.zone, request.spot, now, now
+                )
+        self.cluster.changed = True
+
+    def rental_refused(self, request: RentalRequest, now: timedelta) -> None:
+        self.rental = None
+        self.market.refused(Offer(request.machine_type, request.zone, request.spot), now)
+        self.cluster.changed = True
+
+    def released(self, names: Iterable[str], now: timedelta) -> None:
+        for name in names:
+            self.releases.discard(name)
+            self.cluster.machine_gone(name, now)
+
+    # -- time ------------------------------------------------------------------------------
+
+    def step(self, now: timedelta) -> None:
+        """Look at the clock; a pass if something changed or the refresh period is over."""
+        self.cluster.expire(now)
+        self._drain(now)
+        if self.cluster.changed or now - self._last_pass >= self.policy.refresh:
+            self._pass(now)
+        self._look_after_machines(now)
+
+    def _pass(self, now: timedelta) -> None:
+        self.cluster.changed = False
+        self._last_pass = now
+        may_rent = (
+            self.rental is None and self.listed and now - self.cluster.began >= COUNTING_TIME
+        )
+        plan = Pass(
+            self.cluster,
+            self.market,
+            self.policy,
+            self.timers,
+            self._expected(now),
+            now,
+            may_rent=may_rent,
+        ).run()
+        self.plan = plan
+        for victim in plan.kills:
+            job = self.cluster.jobs[victim.job_id]
+            log.info("%s is stopped to make room", victim.job_id)
+            if victim.index is None:
+                self.cluster.stop_job(job, now, save=True)
+                continue
+            grace = job.save_time + GRACE_MARGIN if job.can_save else ZERO
+            for attempt in list(job.attempts.get(victim.index, ())):
+                self.cluster.stop(attempt, grace, now)
+        if plan.rentals and self.rental is None:
+            offer, count = plan.rentals.most_common(1)[0]
+            self._rentals += 1
+            self.rental = RentalRequest(
+                f"{self.cluster.token}-{self._rentals}",
+                offer.machine_type,
+                offer.zone,
+                offer.spot,
+                min(count, MOST_PER_RENTAL),
+            )
+
+    def _expected(self, now: timedelta) -> list[Expected]:
+        """Classes that are to start sooner than a machine boots need warm room."""
+        result: list[Expected] = []
+        for objective in self.objectives:
+            if objective.kind != "wait":
+                continue
+            arrivals = self._arrivals.get(objective.job_class)
+            if arrivals is None or arrivals.spec is None or not arrivals.times:
+                continue
+            boots = [kind.boot_s for kind in self.market.types.values()]
+            if not boots or objective.within >= seconds(min(boots)):
+                continue
+            if arrivals.spec.spot_allowed:
+                continue
+            result.append(Expected(arrivals.spec, self._likely(arrivals, now, min(boots))))
+        return result
+
+    def _likely(self, arrivals: Arrivals, now: timedelta, boot_s: float) -> int:
+        """Tasks that may well come while a machine boots; one at least."""
+        window = 180.0
+        recent = [t for t in arrivals.times if (now - t).total_seconds() <= window]
+        mean = len(recent) / window * boot_s * 1.5
+        return max(1, math.ceil(mean))
+
+    # -- machines --------------------------------------------------------------------------
+
+    def _drain(self, now: timedelta) -> None:
+        """Tasks on machines that are about to be taken save while there is time."""
+        for machine in list(self.cluster.machines.values()):
+            if machine.notice_end is None:
+                continue
+            for attempt in list(machine.attempts.values()):
+                job = self.cluster.jobs[attempt.job_id]
+                if attempt.stop is not None or not job.can_save:
+                    continue
+                grace = job.save_time + GRACE_MARGIN
+                if machine.notice_end - now < job.save_time:
+                    continue
+                if job.is_gang:
+                    self.cluster.stop_job(job, now, save=True)
+                else:
+                    self.cluster.stop(attempt, grace, now)
+
+    def _look_after_machines(self, now: timedelta) -> None:
+        silence = self.cluster.workers.lease * (1 + 2 * DRIFT) + LEASE_MARGIN
+        for machine in list(self.cluster.machines.values()):
+            if machine.release_asked is not None:
+                continue
+            reason = self._reason_to_return(machine, now, silence)
+            if reason is not None:
+                log.info("%s is returned: %s", machine.name, reason)
+                machine.leaving = reason
+                machine.release_asked = now
+                self.releases.add(machine.name)
+                self.cluster.changed = True
+            elif machine.leaving is None and len(machine.errors) > 1:
+                # Errors of several jobs on one machine point to the machine.
+                machine.leaving = "faulty"
+                self.cluster.changed = True
+            for attempt in machine.attempts.values():
+                if attempt.stop is not None:
+                    due = self._direct_again.get(machine.name, ZERO)
+                    if now >= due:
+                        self.cluster.direct.add(machine.name)
+                    break
+        for name in self.cluster.direct:
+            self._direct_again[name] = now + seconds(2)
+
+    def _reason_to_return(
+        self, machine: Machine, now: timedelta, silence: timedelta
+    ) -> str | None:
+        kind = self.cluster.types.get(machine.machine_type)
+        if machine.listed_failed and (machine.lost or not machine.up):
+            return "it failed"
+        if not machine.up:
+            if machine.attempts:
+                # Recorded by an earlier leader and silent since: only the cloud can make certain.
+                waited = now - self.cluster.began
+                return "it is not heard of" if waited > silence + seconds(3) else None
+            if machine.missing_lists > 3 and now - machine.known_since > seconds(60):
+                return "it is not listed any more"
+            patience = seconds(kind.boot_s if kind else 60.0) * BOOT_PATIENCE
+            return "it does not boot" if machine.age(now) > patience else None
+        if machine.heard is None or now - machine.heard > silence:
+            quiet = now - (machine.heard or machine.up_since or now)
+            if machine.missing_lists > 3 or quiet > silence + SILENT_PATIENCE:
+                return "it is silent"
+            if machine.attempts and quiet > silence + seconds(3):
+                return "it is silent and may still run tasks"
+            return None
+        for attempt in machine.attempts.values():
+            job = self.cluster.jobs[attempt.job_id]
+            limit = self.cluster.workers.cancel - self.cluster.workers.lease
+            if job.over and attempt.stop_since and now - attempt.stop_since > limit:
+                return "it does not stop a cancelled task"
+        if machine.attempts:
+            return None
+        if machine.notice_end is not None:
+            return "it is about to be taken"
+        if machine.leaving is not None:
+            return machine.leaving
+        if machine.name in self.plan.held or machine.name in self.plan.spare:
+            machine.idle_since = now
+            return None
+        idle = now - (machine.idle_since or now)
+        if machine.idle_since is None:
+            machine.idle_since = now
+        if idle > IDLE_KEEP and machine.age(now) > MINIMUM_CHARGE - seconds(3):
+            return "it is idle"
+        return None
+
+    # -- what others are told --------------------------------------------------------------
+
+    def counts(self, most: int = 2000) -> list[Counts]:
+        result: list[Counts] = []
+        for job in self.cluster.live_jobs():
+            running = job.running_count()
+            if running or job.finished:
+                result.append(Counts(job.id, len(job.finished), running))
+                if len(result) >= most:
+                    break
+        return result
+
+    def state_counts(self) -> Counter[str]:
+        states: Counter[str] = Counter()
+        for job in self.cluster.live_jobs():
+            if job.running_count():
+                states["running"] += 1
+            elif job.attempts:
+                states["starting"] += 1
+            else:
+                states["waiting"] += 1
+        return states
--- /dev/null
+++ b/micadeal/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Machines: what is known of them, the cloud that rents them, how many are wanted."""
--- /dev/null
+++ b/micadeal/fleet/model.py
@@ -0,0 +1,110 @@
+"""Machines and the attempts that may be on them, as the leader knows them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from micadeal.clock import ZERO
+from micadeal.wire.state import PlacedTask
+from micadeal.wire.workers import TaskState
+
+AttemptKey = tuple[str, int, int]
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt at a task that may be on a machine."""
+
+    job_id: str
+    index: int
+    number: int
+    machine: str
+    placed: timedelta
+    #: The machine's record in the state service names it: it may be started.
+    durable: bool = False
+    #: Last reported state; None: never shown by a report.
+    state: TaskState | None = None
+    #: (session, sequence) of the last report in whose answer its start was ordered.
+    ordered: tuple[int, int] | None = None
+    #: Not None: to be stopped, with this grace.
+    stop: timedelta | None = None
+    stop_since: timedelta | None = None
+    running_since: timedelta | None = None
+
+    @property
+    def key(self) -> AttemptKey:
+        return (self.job_id, self.index, self.number)
+
+    @property
+    def task(self) -> str:
+        return f"{self.job_id}/{self.index}"
+
+    @property
+    def running(self) -> bool:
+        return self.state is TaskState.RUNNING
+
+    @property
+    def placed_task(self) -> PlacedTask:
+        return PlacedTask(self.job_id, self.index, self.number)
+
+
+@dataclass(slots=True, eq=False)
+class Machine:
+    name: str
+    address: str
+    machine_type: str
+    zone: str
+    spot: bool
+    #: When we first knew of it, and its age then as far as known.
+    known_since: timedelta
+    rented: timedelta
+    session: int = 0
+    sequence: int = 0
+    #: Receipt of the last report that we answered as leader.
+    heard: timedelta | None = None
+    #: Its worker has shown our token: answers of older leaders are lost on it.
+    knows_us: bool = False
+    up_since: timedelta | None = None
+    notice_end: timedelta | None = None
+    attempts: dict[AttemptKey, Attempt] = field(default_factory=dict)
+    #: Exited tasks still shown by reports: (task, attempt) -> (job id, index, done).
+    exited: dict[tuple[str, int], tuple[str, int, bool]] = field(default_factory=dict)
+    #: Images seen on it, by last use.
+    images: dict[str, timedelta] = field(default_factory=dict)
+    #: What its record in the state service lists; None: no record.
+    recorded: frozenset[PlacedTask] | None = None
+    writing: bool = False
+    #: Gets no new work; returned when empty.
+    leaving: str | None = None
+    release_asked: timedelta | None = None
+    #: Silent past its lease: nothing is on it, but it may come back.
+    lost: bool = False
+    idle_since: timedelta | None = None
+    #: Jobs that failed on it since something last succeeded on it.
+    errors: set[str] = field(default_factory=set)
+    listed_failed: bool = False
+    #: Has been in a list; how many lists in a row have missed it since.
+    listed: bool = False
+    missing_lists: int = 0
+
+    @property
+    def up(self) -> bool:
+        return self.up_since is not None
+
+    def usable(self, now: timedelta, silence: timedelta) -> bool:
+        """May get new work: up, ours, not leaving, and heard from lately."""
+        return (
+            self.knows_us
+            and self.leaving is None
+            and not self.lost
+            and self.notice_end is None
+            and self.heard is not None
+            and now - self.heard <= silence
+        )
+
+    def age(self, now: timedelta) -> timedelta:
+        return max(now - self.rented, ZERO)
+
+    def wanted_record(self) -> frozenset[PlacedTask]:
+        return frozenset(attempt.placed_task for attempt in self.attempts.values())
--- /dev/null
+++ b/micadeal/fleet/offers.py
@@ -0,0 +1,89 @@
+"""What the cloud can be asked for, cheapest first, and what it refused lately.  Pure."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from micadeal.clock import seconds
+from micadeal.placement.rooms import allowed, type_fits
+from micadeal.wire.cloud import MachineType
+from micadeal.wire.users import Submission
+
+FIRST_PAUSE = seconds(6)
+LONGEST_PAUSE = seconds(40)
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    machine_type: str
+    zone: str
+    spot: bool
+
+
+@dataclass(slots=True)
+class Market:
+    """The catalog, and a pause for each offer that was refused: doubled with every refusal."""
+
+    types: dict[str, MachineType] = field(default_factory=dict)
+    _until: dict[Offer, timedelta] = field(default_factory=dict)
+    _pause: dict[Offer, timedelta] = field(default_factory=dict)
+
+    def refused(self, offer: Offer, now: timedelta) -> None:
+        pause = min(self._pause.get(offer, FIRST_PAUSE / 2) * 2, LONGEST_PAUSE)
+        self._pause[offer] = pause
+        self._until[offer] = now + pause
+
+    def granted(self, offer: Offer) -> None:
+        self._pause.pop(offer, None)
+        self._until.pop(offer, None)
+
+    def paused(self, offer: Offer, now: timedelta) -> bool:
+        until = self._until.get(offer)
+        return until is not None and now < until
+
+    def any_paused(self, now: timedelta) -> list[Offer]:
+        return [offer for offer in self._until if self.paused(offer, now)]
+
+    def can_ever_fit(self, spec: Submission) -> bool:
+        return any(
+            type_fits(spec, kind)
+            and any(allowed(spec, kind.name, zone, spot=False) for zone in kind.zones)
+            for kind in self.types.values()
+        )
+
+    def choices(
+        self, spec: Submission, now: timedelta, present: Counter[str]
+    ) -> Iterator[tuple[Offer, MachineType]]:
+        """Offers for a task: cheapest kind first, then zones with the fewest machines."""
+        found: list[tuple[float, int, str, Offer, MachineType]] = []
+        for kind in self.types.values():
+            if not type_fits(spec, kind):
+                continue
+            for spot in (True, False):
+                price = kind.spot_price if spot else kind.price
+                if price is None:
+                    continue
+                for zone in kind.zones:
+                    offer = Offer(kind.name, zone, spot)
+                    if allowed(spec, kind.name, zone, spot) and not self.paused(offer, now):
+                        found.append((_per_task(spec, kind, price), present[zone], zone, offer, kind))
+        found.sort(key=lambda entry: entry[:3])
+        for _, _, _, offer, kind in found:
+            yield offer, kind
+
+
+def _per_task(spec: Submission, kind: MachineType, price: float) -> float:
+    """Price per task of this size on a full machine."""
+    ratios: Iterable[float] = (
+        have / need
+        for have, need in (
+            (kind.gpus, spec.gpus),
+            (kind.cpus, spec.cpus),
+            (kind.memory_gb, spec.memory_gb),
+        )
+        if need > 0
+    )
+    return price / max(1, int(min(ratios, default=1.0) + 1e-6))
--- /dev/null
+++ b/micadeal/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs: their records, validation of submissions, and the desk that answers users."""
--- /dev/null
+++ b/micadeal/jobs/model.py
@@ -0,0 +1,155 @@
+"""A job as the leader knows it."""
+
+from __future__ import annotations
+
+import base64
+import heapq
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from micadeal.clock import ZERO, seconds
+from micadeal.fleet.model import Attempt
+from micadeal.sharing.order import RANK
+from micadeal.wire.users import Priority, Shape, Submission
+
+#: Tasks per chunk of the finished set: 3000 bytes, 4000 as base64, below any value limit met.
+CHUNK = 24_000
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """``attempts`` holds everything that may be on a machine, finished or not."""
+
+    spec: Submission
+    #: Instant of submission on this process's steady clock (before its start: negative).
+    submitted: timedelta
+    version: int
+    finished: set[int] = field(default_factory=set)
+    durable: set[int] = field(default_factory=set)
+    #: Chunks of the finished set that the state service holds, or may hold.
+    chunks: set[int] = field(default_factory=set)
+    attempts: dict[int, list[Attempt]] = field(default_factory=dict)
+    #: No longer in the state service's list of jobs: nothing of it may start any more.
+    over: bool = False
+    #: Errors of this job since its last success, by machine.
+    errors: Counter[str] = field(default_factory=Counter)
+    retry_at: timedelta = timedelta.min
+    last_progress: timedelta = ZERO
+    reasons: Counter[str] = field(default_factory=Counter)
+    _fresh: int = 0
+    _returned: list[int] = field(default_factory=list)
+
+    @property
+    def id(self) -> str:
+        return self.spec.job_id
+
+    @property
+    def is_gang(self) -> bool:
+        return self.spec.shape is Shape.GANG
+
+    @property
+    def is_service(self) -> bool:
+        return self.spec.shape is Shape.SERVICE
+
+    @property
+    def production(self) -> bool:
+        return self.spec.priority is Priority.PRODUCTION
+
+    @property
+    def order(self) -> tuple[int, timedelta, str]:
+        """In-team order by default: priority, then submit time."""
+        return (RANK[self.spec.priority], self.submitted, self.spec.job_id)
+
+    @property
+    def resource(self) -> str:
+        return "gpus" if self.spec.gpus > 0 else "cpus"
+
+    @property
+    def units(self) -> float:
+        """Slots that one task books, in the job's resource."""
+        return self.spec.gpus if self.spec.gpus > 0 else self.spec.cpus
+
+    @property
+    def save_time(self) -> timedelta:
+        return seconds(self.spec.save_s)
+
+    @property
+    def can_save(self) -> bool:
+        return self.spec.checkpoint_s > 0
+
+    def waiting_count(self) -> int:
+        if self.over:
+            return 0
+        both = sum(1 for index in self.attempts if index in self.finished)
+        return self.spec.tasks - len(self.finished) - len(self.attempts) + both
+
+    def running_count(self) -> int:
+        return sum(
+            1
+            for attempts in self.attempts.values()
+            if any(attempt.running for attempt in attempts)
+        )
+
+    def all_attempts(self) -> Iterator[Attempt]:
+        for attempts in self.attempts.values():
+            yield from attempts
+
+    def _waits(self, index: int) -> bool:
+        return index not in self.finished and index not in self.attempts
+
+    def next_waiting(self) -> int | None:
+        """The lowest task that waits; it stays in the queue until an attempt is added."""
+        while self._returned and not self._waits(self._returned[0]):
+            heapq.heappop(self._returned)
+        if self._returned:
+            return self._returned[0]
+        while self._fresh < self.spec.tasks and not self._waits(self._fresh):
+            self._fresh += 1
+        return self._fresh if self._fresh < self.spec.tasks else None
+
+    def add(self, attempt: Attempt) -> None:
+        self.attempts.setdefault(attempt.index, []).append(attempt)
+
+    def remove(self, attempt: Attempt) -> None:
+        rest = [other for other in self.attempts.get(attempt.index, ()) if other is not attempt]
+        if rest:
+            self.attempts[attempt.index] = rest
+            return
+        self.attempts.pop(attempt.index, None)
+        if attempt.index not in self.finished:
+            heapq.heappush(self._returned, attempt.index)
+
+    def finish(self, index: int) -> None:
+        self.finished.add(index)
+
+    def mark_durable(self, indexes: frozenset[int], chunk: int) -> None:
+        """The state service holds these finished tasks of a chunk."""
+        self.durable |= {index for index in indexes if index // CHUNK == chunk}
+
+    @property
+    def complete(self) -> bool:
+        return not self.is_service and len(self.finished) >= self.spec.tasks
+
+    def chunk_bits(self, chunk: int) -> str:
+        start = chunk * CHUNK
+        bits = bytearray()
+        for index in self.finished:
+            place = index - start
+            if 0 <= place < CHUNK:
+                byte = place >> 3
+                if byte >= len(bits):
+                    bits.extend(bytes(byte + 1 - len(bits)))
+                bits[byte] |= 1 << (place & 7)
+        return base64.b64encode(bits).decode()
+
+    def load_chunk(self, chunk: int, text: str) -> None:
+        start = chunk * CHUNK
+        for place, byte in enumerate(base64.b64decode(text)):
+            for bit in range(8):
+                index = start + place * 8 + bit
+                if byte >> bit & 1 and index < self.spec.tasks:
+                    self.finished.add(index)
+                    self.durable.add(index)
+        self.chunks.add(chunk)
--- /dev/null
+++ b/micadeal/jobs/validate.py
@@ -0,0 +1,82 @@
+"""Checks of submissions: what is malformed (400) and what can never run (422).  Pure."""
+
+from __future__ import annotations
+
+import math
+import re
+
+from micadeal.fleet.offers import Market
+from micadeal.operator.platform import Team
+from micadeal.placement.rooms import EPSILON
+from micadeal.wire.codec import BadMessage, decode
+from micadeal.wire.users import JobName, Shape, Submission
+
+JOB_ID = re.compile(r"req-[0-9]{1,32}\Z")
+MOST_TASKS = 100_000
+LONGEST_NAME = 200
+
+
+class Malformed(ValueError):
+    """400: what is wrong."""
+
+
+class Impossible(ValueError):
+    """422: why it can never run."""
+
+
+def parse(body: bytes) -> Submission:
+    try:
+        spec = decode(Submission, body)
+    except BadMessage as problem:
+        raise Malformed(str(problem)) from None
+    if not JOB_ID.match(spec.job_id):
+        raise Malformed("not a job id")
+    if not 1 <= spec.tasks <= MOST_TASKS:
+        raise Malformed(f"number of tasks must be 1 to {MOST_TASKS}")
+    amounts = {
+        "cores": spec.cpus,
+        "accelerators": spec.gpus,
+        "memory": spec.memory_gb,
+        "image size": spec.image_gb,
+        "estimate": spec.estimate_s,
+        "checkpoint interval": spec.checkpoint_s,
+        "save time": spec.save_s,
+        "deadline": spec.deadline_s or 0.0,
+    }
+    for name, value in amounts.items():
+        if not (math.isfinite(value) and value >= 0):
+            raise Malformed(f"{name} must be a number and not below 0")
+    if spec.cpus == 0 and spec.gpus == 0:
+        raise Malformed("a task must take cores or accelerators")
+    for text in (spec.job_class, spec.team, spec.image, spec.zone or "-"):
+        if not 0 < len(text) <= LONGEST_NAME:
+            raise Malformed("an empty or overlong name")
+    if spec.machine_types is not None and not all(
+        0 < len(name) <= LONGEST_NAME for name in spec.machine_types
+    ):
+        raise Malformed("an empty or overlong machine type")
+    return spec
+
+
+def job_id_of(body: bytes) -> str | None:
+    """The id in a body whose other fields may be invalid: a repeat of a known job is no error."""
+    try:
+        job_id = decode(JobName, body).job_id
+    except BadMessage:
+        return None
+    return job_id if JOB_ID.match(job_id) else None
+
+
+def check_possible(spec: Submission, teams: dict[str, Team], market: Market) -> None:
+    team = teams.get(spec.team)
+    if team is None:
+        raise Impossible("unknown team")
+    if not market.can_ever_fit(spec):
+        raise Impossible("a task fits no allowed machine type")
+    tasks = 1 if spec.shape is Shape.ARRAY else spec.tasks
+    for need, limit, name in (
+        (spec.cpus, team.cpus_max, "cores"),
+        (spec.gpus, team.gpus_max, "accelerators"),
+    ):
+        if limit is not None and tasks * need > limit + EPSILON:
+            raise Impossible(f"more {name} than the team's limit")
--- /dev/null
+++ b/micadeal/leadership/term.py
@@ -0,0 +1,71 @@
+"""What a leader may still do, decided from its lease and from what its peers confirm.  Pure."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+from micadeal.clock import DRIFT
+
+#: For answers under way, timers that fire late, and leases that end a little late.
+MARGIN = timedelta(seconds=2.5)
+
+
+class Power(Enum):
+    """What the term allows at an instant."""
+
+    #: Everything: start tasks, rent, record ends.
+    FULL = "full"
+    #: Touch with the state service is lost: keep workers' leases alive and pass on halts.
+    RENEW_ONLY = "renew only"
+    #: Nothing: a cancellation accepted elsewhere could otherwise be outlived.
+    NONE = "none"
+
+
+@dataclass(frozen=True, slots=True)
+class PeerContact:
+    """A peer's word on when it last had an answer of the state service."""
+
+    #: When we sent the question; the word holds for at least this instant.
+    asked: timedelta
+    #: Latest instant, by our clock, at which the peer may have had contact before; None: never.
+    contact: timedelta | None
+
+
+@dataclass(frozen=True, slots=True)
+class Term:
+    """One election won.  ``token`` is the revision of the transaction that won it."""
+
+    token: int
+    lease: int
+    #: The lease certainly holds until then.
+    valid_until: timedelta
+    #: The last instant at which we certainly knew of every cancellation.
+    informed: timedelta
+
+    def power(
+        self,
+        now: timedelta,
+        peers: list[PeerContact | None],
+        lease_time: timedelta,
+        cancel_time: timedelta,
+    ) -> Power:
+        if now < self.valid_until:
+            return Power.FULL
+        # A task whose worker we answer lives for a worker's lease after the report.  So answers
+        # must end early enough that it is gone ``cancel_time`` after any cancellation that
+        # another controller could have accepted unknown to us.
+        grace = (cancel_time - lease_time) * (1 - DRIFT) - MARGIN
+        known = self.informed
+        if peers and all(peer is not None for peer in peers):
+            # In an outage that all share nobody can have told a user "cancelled": every peer's
+            # word that it has had no contact since ``informed`` moves the bound on.
+            silent = [
+                peer.asked
+                for peer in peers
+                if peer is not None and (peer.contact is None or peer.contact <= self.informed)
+            ]
+            if len(silent) == len(peers):
+                known = max(known, min(silent))
+        return Power.RENEW_ONLY if now < known + grace else Power.NONE
--- /dev/null
+++ b/micadeal/operator/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the platform and of operators, and what operators ask."""
--- /dev/null
+++ b/micadeal/operator/answers.py
@@ -0,0 +1,166 @@
+"""What operators ask of the leader: why a job waits, and the state of things at a glance."""
+
+from __future__ import annotations
+
+from collections import Counter
+from datetime import timedelta
+
+from micadeal.clock import seconds
+from micadeal.controller.scheduler import Scheduler
+from micadeal.fleet.model import Machine
+from micadeal.jobs.model import Job
+from micadeal.wire.mesh import MachineLine, Overview, StuckJob, TeamLine, WhyAnswer, WhyLine
+
+#: A job that has waited this long with nothing started, or fails again and again, is stuck.
+STUCK_AFTER = seconds(60)
+MOST_STUCK = 20
+
+
+def why(scheduler: Scheduler, job_id: str, now: timedelta) -> WhyAnswer | None:
+    job = scheduler.cluster.jobs.get(job_id)
+    if job is None or job.over:
+        return None
+    running = job.running_count()
+    waiting = job.waiting_count()
+    return WhyAnswer(
+        job_id,
+        "running" if running else "pending",
+        job.spec.team,
+        len(job.finished),
+        running,
+        len(job.attempts) - running,
+        waiting,
+        max((now - job.submitted).total_seconds(), 0.0),
+        [WhyLine(reason, tasks) for reason, tasks in _reasons(scheduler, job, now)],
+    )
+
+
+def _reasons(scheduler: Scheduler, job: Job, now: timedelta) -> list[tuple[str, int]]:
+    lines: list[tuple[str, int]] = []
+    for reason, tasks in job.reasons.most_common():
+        lines.append((reason, tasks))
+    if job.errors:
+        failures = sum(job.errors.values())
+        text = f"it failed {failures} times on {len(job.errors)} machines"
+        if job.retry_at > now:
+            text += f"; next try in {(job.retry_at - now).total_seconds():.0f} s"
+        lines.append((text, 0))
+    starting: Counter[str] = Counter()
+    for attempt in job.all_attempts():
+        if attempt.stop is not None:
+            starting["is being stopped"] += 1
+        elif attempt.state is None:
+            starting["placed; its machine has not confirmed the start yet"] += 1
+        elif attempt.state.value == "pulling":
+            starting["its machine fetches the image"] += 1
+        elif attempt.state.value == "waiting":
+            starting["waits for the other tasks of the gang to have their image"] += 1
+    lines += starting.most_common()
+    paused = scheduler.market.any_paused(now)
+    if paused and job.waiting_count():
+        places = ", ".join(
+            f"{offer.machine_type} {'spot' if offer.spot else 'ordinary'} in {offer.zone}"
+            for offer in sorted(paused, key=lambda o: (o.machine_type, o.zone, o.spot))
+        )
+        lines.append((f"the cloud refused lately: {places}", 0))
+    return lines
+
+
+def overview(scheduler: Scheduler, leader: str, now: timedelta, contact: bool) -> Overview:
+    cluster = scheduler.cluster
+    return Overview(
+        leader,
+        cluster.token,
+        (now - cluster.began).total_seconds(),
+        contact,
+        _teams(scheduler),
+        dict(scheduler.state_counts()),
+        _stuck(scheduler, now),
+        _machines(scheduler, now),
+        _notes(scheduler, now),
+    )
+
+
+def _teams(scheduler: Scheduler) -> list[TeamLine]:
+    cluster = scheduler.cluster
+    usage = cluster.usage()
+    lines: list[TeamLine] = []
+    for resource, states in scheduler.plan.teams.items():
+        for name, state in states.items():
+            jobs = [
+                j for j in cluster.live_jobs() if j.spec.team == name and j.resource == resource
+            ]
+            used = usage[name][1 if resource == "gpus" else 0]
+            if not jobs and not state.minimum and not used:
+                continue
+            running = sum(1 for job in jobs if job.attempts)
+            lines.append(
+                TeamLine(
+                    name,
+                    resource,
+                    used,
+                    state.minimum,
+                    cluster.teams[name].limit(resource) or 0.0,
+                    state.share,
+                    state.demand,
+                    len(jobs) - running,
+                    running,
+                )
+            )
+    return lines
+
+
+def _stuck(scheduler: Scheduler, now: timedelta) -> list[StuckJob]:
+    found: list[StuckJob] = []
+    for job in scheduler.cluster.live_jobs():
+        waited = now - max(job.submitted, job.last_progress)
+        failing = sum(job.errors.values()) > 2
+        if not failing and (waited < STUCK_AFTER or job.attempts or not job.waiting_count()):
+            continue
+        reasons = _reasons(scheduler, job, now)
+        text = reasons[0][0] if reasons else "not looked at yet"
+        found.append(
+            StuckJob(job.id, job.spec.team, job.spec.job_class, waited.total_seconds(), text)
+        )
+    found.sort(key=lambda entry: -entry.waiting_s)
+    return found[:MOST_STUCK]
+
+
+def _machines(scheduler: Scheduler, now: timedelta) -> list[MachineLine]:
+    cluster = scheduler.cluster
+    groups: dict[tuple[str, str, bool], list[Machine]] = {}
+    for machine in cluster.machines.values():
+        groups.setdefault((machine.machine_type, machine.zone, machine.spot), []).append(machine)
+    lines: list[MachineLine] = []
+    silence = cluster.workers.report * 3
+    for (kind, zone, spot), machines in sorted(groups.items()):
+        line = MachineLine(kind, zone, spot, 0, 0, 0, 0, 0.0, 0.0)
+        for machine in machines:
+            if not machine.up:
+                line.booting += 1
+                continue
+            if machine.leaving or machine.notice_end is not None:
+                line.leaving += 1
+            elif machine.heard is None or now - machine.heard > silence:
+                line.silent += 1
+            else:
+                line.up += 1
+            if (found := cluster.types.get(kind)) is not None:
+                line.gpus += found.gpus
+            for attempt in machine.attempts.values():
+                line.gpus_used += cluster.jobs[attempt.job_id].spec.gpus
+        lines.append(line)
+    return lines
+
+
+def _notes(scheduler: Scheduler, now: timedelta) -> list[str]:
+    notes: list[str] = []
+    for offer in scheduler.market.any_paused(now):
+        kind = "spot" if offer.spot else "ordinary"
+        notes.append(f"the cloud refused {offer.machine_type} ({kind}) in {offer.zone} lately")
+    for machine in scheduler.cluster.machines.values():
+        if machine.leaving == "faulty":
+            notes.append(f"{machine.name} failed tasks of several jobs and is being emptied")
+        elif machine.notice_end is not None:
+            notes.append(f"{machine.name} is about to be taken by the cloud")
+    return sorted(notes)
--- /dev/null
+++ b/micadeal/operator/platform.py
@@ -0,0 +1,258 @@
+"""The settings file that the platform hands over (TOML), checked."""
+
+from __future__ import annotations
+
+import math
+import tomllib
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+
+import msgspec
+
+from micadeal.clock import seconds
+from micadeal.http.client import parse_address
+
+
+class BadSettings(ValueError):
+    """One line that names what is missing or senseless."""
+
+
+class _Peer(msgspec.Struct, rename={"name": "member", "zone": "domain", "address": "endpoint"}):
+    name: str
+    zone: str
+    address: str
+
+
+class _Services(msgspec.Struct):
+    cloud: str
+    state: str
+
+
+class _Team(msgspec.Struct):
+    name: str
+    cpus: float = 0.0
+    cpus_max: float = 0.0
+    gpus: float = 0.0
+    gpus_max: float = 0.0
+
+
+class _Objective(msgspec.Struct, rename={"job_class": "class"}):
+    kind: str
+    job_class: str = ""
+    within_s: float = 0.0
+    share: float = 0.0
+
+
+class _Workers(msgspec.Struct):
+    report_s: float
+    lease_s: float
+    gang_wait_s: float
+    gang_peer_s: float
+    cancel_s: float
+
+
+class _State(msgspec.Struct):
+    rps: float
+    write_rps: float
+    value_kb: float
+    txn_ops: int
+
+
+class _Cloud(msgspec.Struct):
+    rps: float
+    list_lag_s: float
+
+
+class _Quota(msgspec.Struct, rename={"core_share": "core_share", "memory_mb": "ram_mb"}):
+    max_connections: int
+    core_share: float = 1.0
+    memory_mb: float = 0.0
+
+
+class _Cluster(msgspec.Struct, rename={"controllers": "size"}):
+    controllers: int
+    zones: list[str]
+    workers: _Workers
+    state: _State
+    cloud: _Cloud
+    quota: _Quota
+    skew_ms: float = 0.0
+    teams: list[_Team] = []
+    objectives: list[_Objective] = []
+
+
+class _File(
+    msgspec.Struct,
+    rename={
+        "name": "member",
+        "zone": "domain",
+        "listen": "api_addr",
+        "mesh": "mesh_addr",
+        "peers": "seeds",
+        "services": "endpoints",
+    },
+):
+    name: str
+    zone: str
+    listen: str
+    mesh: str
+    services: _Services
+    cluster: _Cluster
+    peers: list[_Peer] = []
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    name: str
+    zone: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Team:
+    """Guarantees and limits; a limit of None means none."""
+
+    name: str
+    cpus: float = 0.0
+    gpus: float = 0.0
+    cpus_max: float | None = None
+    gpus_max: float | None = None
+
+    def minimum(self, resource: str) -> float:
+        return self.gpus if resource == "gpus" else self.cpus
+
+    def limit(self, resource: str) -> float | None:
+        return self.gpus_max if resource == "gpus" else self.cpus_max
+
+
+@dataclass(frozen=True, slots=True)
+class Workers:
+    report: timedelta
+    lease: timedelta
+    gang_wait: timedelta
+    gang_peer: timedelta
+    cancel: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class Objective:
+    kind: str
+    job_class: str
+    within: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class Platform:
+    name: str
+    zone: str
+    listen: tuple[str, int]
+    mesh: tuple[str, int]
+    peers: tuple[Peer, ...]
+    cloud_address: str
+    state_address: str
+    zones: tuple[str, ...]
+    teams: dict[str, Team]
+    objectives: tuple[Objective, ...]
+    workers: Workers
+    state: _State
+    cloud_rps: float
+    list_lag: timedelta
+    max_connections: int
+
+
+def load(path: Path) -> Platform:
+    try:
+        text = path.read_bytes().decode()
+    except (OSError, UnicodeDecodeError) as problem:
+        raise BadSettings(f"{path}: {problem}") from None
+    return parse(text)
+
+
+def parse(text: str) -> Platform:
+    try:
+        file = msgspec.convert(tomllib.loads(text), _File)
+    except tomllib.TOMLDecodeError as problem:
+        raise BadSettings(f"not TOML: {problem}") from None
+    except msgspec.ValidationError as problem:
+        raise BadSettings(str(problem).replace("`", "'")) from None
+    return _check(file)
+
+
+def _address(name: str, text: str) -> tuple[str, int]:
+    try:
+        return parse_address(text)
+    except ValueError as problem:
+        raise BadSettings(f"{name}: {problem}") from None
+
+
+def _positive(**values: float) -> None:
+    for name, value in values.items():
+        if not (math.isfinite(value) and value > 0):
+            raise BadSettings(f"{name.replace('__', '.')} must be above 0, not {value}")
+
+
+def _check(file: _File) -> Platform:
+    cluster = file.cluster
+    workers = cluster.workers
+    _positive(
+        cluster__workers__report_s=workers.report_s,
+        cluster__workers__lease_s=workers.lease_s,
+        cluster__workers__gang_wait_s=workers.gang_wait_s,
+        cluster__workers__gang_peer_s=workers.gang_peer_s,
+        cluster__workers__cancel_s=workers.cancel_s,
+        cluster__state__rps=cluster.state.rps,
+        cluster__state__write_rps=cluster.state.write_rps,
+        cluster__state__value_kb=cluster.state.value_kb,
+        cluster__state__txn_ops=cluster.state.txn_ops,
+        cluster__cloud__rps=cluster.cloud.rps,
+        cluster__quota__max_connections=cluster.quota.max_connections,
+    )
+    if not cluster.zones:
+        raise BadSettings("cluster.zones must name at least one zone")
+    if file.zone not in cluster.zones:
+        raise BadSettings(f"domain {file.zone!r} is not one of cluster.zones")
+    if workers.lease_s >= workers.cancel_s:
+        raise BadSettings("cluster.workers.cancel_s must be above cluster.workers.lease_s")
+    teams: dict[str, Team] = {}
+    for team in cluster.teams:
+        for name in ("cpus", "cpus_max", "gpus", "gpus_max"):
+            value = getattr(team, name)
+            if not (math.isfinite(value) and value >= 0):
+                raise BadSettings(f"team {team.name!r}: {name} must not be negative")
+        for name in ("cpus", "gpus"):
+            most = getattr(team, name + "_max")
+            if most and getattr(team, name) > most:
+                raise BadSettings(f"team {team.name!r}: {name} is above {name}_max")
+        teams[team.name] = Team(
+            team.name, team.cpus, team.gpus, team.cpus_max or None, team.gpus_max or None
+        )
+    _address("endpoints.cloud", file.services.cloud)
+    _address("endpoints.state", file.services.state)
+    for peer in file.peers:
+        _address(f"seeds {peer.name!r}", peer.address)
+    return Platform(
+        name=file.name,
+        zone=file.zone,
+        listen=_address("api_addr", file.listen),
+        mesh=_address("mesh_addr", file.mesh),
+        peers=tuple(Peer(p.name, p.zone, p.address) for p in file.peers if p.name != file.name),
+        cloud_address=file.services.cloud,
+        state_address=file.services.state,
+        zones=tuple(cluster.zones),
+        teams=teams,
+        objectives=tuple(
+            Objective(o.kind, o.job_class, seconds(o.within_s)) for o in cluster.objectives
+        ),
+        workers=Workers(
+            seconds(workers.report_s),
+            seconds(workers.lease_s),
+            seconds(workers.gang_wait_s),
+            seconds(workers.gang_peer_s),
+            seconds(workers.cancel_s),
+        ),
+        state=cluster.state,
+        cloud_rps=cluster.cloud.rps,
+        list_lag=seconds(cluster.cloud.list_lag_s),
+        max_connections=cluster.quota.max_connections,
+    )
--- /dev/null
+++ b/micadeal/operator/policy.py
@@ -0,0 +1,33 @@
+"""Operators' own settings, as values.  Defaults serve with no script."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class TeamPolicy:
+    weight: float = 1.0
+    #: At most so many jobs of the team run at once; None: no limit.
+    running_jobs: int | None = None
+    minimum_timeout: timedelta | None = None
+    #: "priority" (then submit time) or "submitted" (submit time alone).
+    order: str = "priority"
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    #: How often shares are computed and starvation is looked at (design: 2 s).
+    refresh: timedelta = timedelta(seconds=2)
+    #: Below its minimum for this long, a team may have tasks of others killed (design: 15 s).
+    minimum_timeout: timedelta = timedelta(seconds=15)
+    #: The same for half its fair share (design: starts at 30 s).
+    share_timeout: timedelta = timedelta(seconds=30)
+    teams: dict[str, TeamPolicy] = field(default_factory=dict)
+
+    def team(self, name: str) -> TeamPolicy:
+        return self.teams.get(name, _DEFAULT)
+
+
+_DEFAULT = TeamPolicy()
--- /dev/null
+++ b/micadeal/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Where tasks fit: rooms on machines, zones, gangs, images.  Pure."""
--- /dev/null
+++ b/micadeal/placement/rooms.py
@@ -0,0 +1,187 @@
+"""Rooms: what is free on machines during one pass, those up, those booting, those only wished for.
+
+A pass books tasks into rooms in the fair order.  A booking on a machine that is up becomes a
+start; one on a booting machine holds room for a task that must wait; one on a wish becomes a
+rental.  So one pass gives placements, reservations and demand, all in the same order.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from micadeal.wire.cloud import MachineType
+from micadeal.wire.users import Submission
+
+#: Amounts are decimal fractions added up as floats.
+EPSILON = 1e-6
+
+
+@dataclass(slots=True, eq=False)
+class Room:
+    name: str
+    machine_type: str
+    zone: str
+    spot: bool
+    cpus: float
+    gpus: float
+    memory_gb: float
+    #: Up and allowed to get work now; else booting or only wished for.
+    up: bool = True
+    wish: bool = False
+    images: frozenset[str] = frozenset()
+    fetching: frozenset[str] = frozenset()
+    tasks: int = 0
+    #: Tasks on it that could not be on a spot machine.
+    bound_tasks: int = 0
+    booked: int = 0
+    since: timedelta = timedelta(0)
+
+    def fits(self, spec: Submission) -> bool:
+        return (
+            spec.gpus <= self.gpus + EPSILON
+            and spec.cpus <= self.cpus + EPSILON
+            and spec.memory_gb <= self.memory_gb + EPSILON
+        )
+
+    def book(self, spec: Submission) -> None:
+        self.cpus -= spec.cpus
+        self.gpus -= spec.gpus
+        self.memory_gb -= spec.memory_gb
+        self.tasks += 1
+        self.booked += 1
+        if not spec.spot_allowed:
+            self.bound_tasks += 1
+
+    def unbook(self, spec: Submission) -> None:
+        self.cpus += spec.cpus
+        self.gpus += spec.gpus
+        self.memory_gb += spec.memory_gb
+        self.tasks -= 1
+        self.booked -= 1
+        if not spec.spot_allowed:
+            self.bound_tasks -= 1
+
+
+def allowed(spec: Submission, machine_type: str, zone: str, spot: bool) -> bool:
+    """PROTOCOL, rule ``wrong_place``, as far as one machine decides it."""
+    return (
+        (spec.machine_types is None or machine_type in spec.machine_types)
+        and (spec.zone is None or spec.zone == zone)
+        and (spec.spot_allowed or not spot)
+    )
+
+
+def type_fits(spec: Submission, kind: MachineType) -> bool:
+    return (
+        spec.gpus <= kind.gpus + EPSILON
+        and spec.cpus <= kind.cpus + EPSILON
+        and spec.memory_gb <= kind.memory_gb + EPSILON
+    )
+
+
+def spread_limit(spec: Submission) -> int:
+    """At most this many of a spread job's tasks may be in one zone."""
+    return (spec.tasks + 1) // 2
+
+
+@dataclass(slots=True)
+class ZoneRule:
+    """Zones that a job's next task may use, given where its tasks may be at this moment."""
+
+    spec: Submission
+    zones: Counter[str] = field(default_factory=Counter)
+
+    def permits(self, zone: str) -> bool:
+        if self.spec.one_zone and any(other != zone for other in self.zones if self.zones[other]):
+            return False
+        return not self.spec.spread or self.zones[zone] < spread_limit(self.spec)
+
+
+def rank(spec: Submission, room: Room, zones: Counter[str]) -> tuple[float, ...]:
+    """Smaller is better.
+
+    Up before booting before wished; spot for what may use it, since it is cheaper and leaves the
+    ordinary machines to what must have them; the image there already; zones with fewer tasks of
+    the job; then the fullest machine, so that others can empty and be returned.
+    """
+    image = 0 if spec.image in room.images else 1 if spec.image in room.fetching else 2
+    kind = 0 if room.spot or not spec.spot_allowed else 1
+    stage = 2 if room.wish else 0 if room.up else 1
+    return (
+        stage,
+        kind,
+        image,
+        zones[room.zone] if spec.spread else 0,
+        0 if room.tasks else 1,
+        room.gpus,
+        room.cpus,
+    )
+
+
+def choose(
+    spec: Submission, rooms: Iterable[Room], rule: ZoneRule, batch_on_ordinary: bool
+) -> Room | None:
+    """The best room for one more task."""
+    best: Room | None = None
+    best_rank: tuple[float, ...] = ()
+    for room in rooms:
+        if not room.fits(spec) or not allowed(spec, room.machine_type, room.zone, room.spot):
+            continue
+        if not rule.permits(room.zone):
+            continue
+        if spec.spot_allowed and not room.spot and not batch_on_ordinary and not room.bound_tasks:
+            # An ordinary machine is not kept for work that may run on a cheaper one.
+            continue
+        value = rank(spec, room, rule.zones)
+        if best is None or value < best_rank:
+            best, best_rank = room, value
+    return best
+
+
+def choose_gang(
+    spec: Submission, rooms: Sequence[Room], batch_on_ordinary: bool
+) -> list[Room] | None:
+    """Rooms for all tasks of a gang, or None.  The rooms come back booked.
+
+    With ``one_zone`` each zone is tried and the one that can start soonest is taken.
+    """
+    zones: list[str | None] = (
+        sorted({room.zone for room in rooms}, key=str) if spec.one_zone else [None]
+    )
+    best: list[Room] | None = None
+    best_cost: tuple[float, ...] = ()
+    for zone in zones:
+        found = _fill([r for r in rooms if zone is None or r.zone == zone], spec, batch_on_ordinary)
+        if found is None:
+            continue
+        cost = (
+            float(max(2 if r.wish else 0 if r.up else 1 for r in found)),
+            float(sum(1 for r in found if not r.up)),
+            float(sum(1 for r in found if spec.image not in r.images)),
+        )
+        for room in found:
+            room.unbook(spec)
+        if best is None or cost < best_cost:
+            best, best_cost = found, cost
+    if best is not None:
+        for room in best:
+            room.book(spec)
+    return best
+
+
+def _fill(rooms: list[Room], spec: Submission, batch_on_ordinary: bool) -> list[Room] | None:
+    rule = ZoneRule(spec)
+    chosen: list[Room] = []
+    for _ in range(spec.tasks):
+        room = choose(spec, rooms, rule, batch_on_ordinary)
+        if room is None:
+            for taken in chosen:
+                taken.unbook(spec)
+            return None
+        room.book(spec)
+        rule.zones[room.zone] += 1
+        chosen.append(room)
+    return chosen
--- /dev/null
+++ b/micadeal/state/service.py
@@ -0,0 +1,229 @@
+"""Client of the state service: reads, transactions, leases and watches."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import IntEnum
+from typing import Any
+from urllib.parse import quote
+
+from micadeal.clock import ZERO, seconds, sleep, steady
+from micadeal.http.client import Client
+from micadeal.http.message import HttpError
+from micadeal.state.budget import Budget
+from micadeal.wire.codec import BadMessage, decode, encode
+from micadeal.wire.state import (
+    Changes,
+    Condition,
+    Drop,
+    Item,
+    LeaseAnswer,
+    LeaseRequest,
+    Page,
+    Put,
+    Revision,
+    Transaction,
+)
+
+log = logging.getLogger(__name__)
+
+REQUEST_TIME = timedelta(seconds=2)
+PAGE = 500
+
+
+class StateError(Exception):
+    """The state service gave no usable answer; a change may or may not have happened."""
+
+
+class Unavailable(StateError):
+    """The request was certainly not executed (503 or 429)."""
+
+
+class Conflict(Exception):
+    """A transaction's conditions did not hold."""
+
+
+class LeaseGone(Exception):
+    """The lease has run out."""
+
+
+class TooOld(Exception):
+    """The watch's revision is no longer kept: read the keys again."""
+
+
+class Urgency(IntEnum):
+    """Order under pressure: what is less urgent leaves a larger reserve in the budget."""
+
+    LEASE = 0
+    USER = 1
+    PLACEMENT = 2
+    REST = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    requests_per_s: float
+    changes_per_s: float
+    operations: int
+    value_bytes: int
+
+
+class StateService:
+    """One controller's access to the state service.
+
+    The controllers can't see each other's use of the common limits.  Each takes what it needs up
+    to a large part of them, leaves a reserve for what is more urgent, and starts from an empty
+    bucket after a 429.
+    """
+
+    def __init__(self, address: str, limits: Limits) -> None:
+        now = steady()
+        self.limits = limits
+        self._client = Client(address, keep=6)
+        self._address = address
+        self._requests = Budget(limits.requests_per_s * 0.6, limits.requests_per_s * 0.6, now)
+        self._changes = Budget(limits.changes_per_s * 0.8, limits.changes_per_s * 0.8, now)
+        self._answered: timedelta | None = None
+
+    @property
+    def answered(self) -> timedelta | None:
+        """When the service last answered anything; None: never."""
+        return self._answered
+
+    async def _pay(self, changes: int, urgency: Urgency, deadline: timedelta) -> None:
+        for budget, units in ((self._requests, 1), (self._changes, changes)):
+            if not units or urgency is Urgency.LEASE:
+                continue
+            while True:
+                reserve = budget.burst * 0.1 * urgency
+                wait = budget.take(units, steady(), reserve)
+                if wait == ZERO:
+                    break
+                if steady() + wait > deadline:
+                    raise Unavailable("rate limit of our own")
+                await sleep(wait)
+
+    async def _request(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        *,
+        urgency: Urgency,
+        changes: int = 0,
+        timeout: timedelta = REQUEST_TIME,
+        client: Client | None = None,
+        spare: timedelta = ZERO,
+    ) -> tuple[int, bytes]:
+        await self._pay(changes, urgency, steady() + timeout)
+        try:
+            status, answer = await (client or self._client).request(
+                method, target, body, timeout=timeout + spare, repeatable=method == "GET"
+            )
+        except HttpError as problem:
+            raise StateError(str(problem)) from None
+        if status == 429:
+            now = steady()
+            self._requests.drain(now)
+            self._changes.drain(now)
+            raise Unavailable("429")
+        if status == 503:
+            raise Unavailable("503")
+        if status >= 500:
+            raise StateError(f"status {status}")
+        self._answered = steady()
+        return status, answer
+
+    async def get(self, key: str, urgency: Urgency = Urgency.USER) -> Item | None:
+        status, body = await self._request("GET", f"/keys/{quote(key)}", urgency=urgency)
+        if status == 404:
+            return None
+        return self._read(Item, status, body)
+
+    async def range(
+        self, prefix: str, urgency: Urgency = Urgency.USER
+    ) -> tuple[list[Item], int]:
+        """All items under ``prefix``, and a revision from which a watch misses nothing."""
+        items: list[Item] = []
+        revision: int | None = None
+        after = ""
+        while True:
+            target = f"/keys?starts={quote(prefix)}&most={PAGE}"
+            if after:
+                target += f"&after={quote(after)}"
+            status, body = await self._request("GET", target, urgency=urgency)
+            page = self._read(Page, status, body)
+            # The first page's revision: what changes while later pages are read is seen again.
+            revision = page.revision if revision is None else revision
+            items += page.items
+            if not page.more or not page.items:
+                return items, revision
+            after = page.items[-1].key
+
+    async def commit(
+        self,
+        conditions: Sequence[Condition],
+        changes: Sequence[Put | Drop],
+        urgency: Urgency,
+        timeout: timedelta = REQUEST_TIME,
+    ) -> int:
+        """The revision of the changes; ``Conflict`` if a condition did not hold."""
+        body = encode(Transaction(list(conditions), list(changes)))
+        status, answer = await self._request(
+            "POST", "/txn", body, urgency=urgency, changes=len(changes), timeout=timeout
+        )
+        if status == 409:
+            raise Conflict
+        if status == 400 and any(isinstance(change, Put) and change.lease for change in changes):
+            raise LeaseGone
+        return self._read(Revision, status, answer).revision
+
+    async def new_lease(self, ttl: timedelta) -> int:
+        body = encode(LeaseRequest(round(ttl.total_seconds() * 1000)))
+        status, answer = await self._request("POST", "/leases", body, urgency=Urgency.LEASE)
+        return self._read(LeaseAnswer, status, answer).lease
+
+    async def renew(self, lease: int, timeout: timedelta) -> None:
+        status, _ = await self._request(
+            "POST", f"/leases/{lease}/renew", urgency=Urgency.LEASE, timeout=timeout
+        )
+        if status == 404:
+            raise LeaseGone
+        if status != 200:
+            raise StateError(f"status {status}")
+
+    async def end_lease(self, lease: int) -> None:
+        await self._request("DELETE", f"/leases/{lease}", urgency=Urgency.LEASE)
+
+    async def changes(
+        self, prefix: str, after: int, hold: timedelta, client: Client
+    ) -> Changes:
+        """What changed under ``prefix``; waits up to ``hold``.  ``client`` is the watch's own."""
+        milliseconds = round(hold.total_seconds() * 1000)
+        target = f"/changes?starts={quote(prefix)}&after={after}&hold_ms={milliseconds}"
+        status, body = await self._request(
+            "GET", target, urgency=Urgency.LEASE, client=client, spare=hold
+        )
+        if status == 410:
+            raise TooOld
+        return self._read(Changes, status, body)
+
+    def watch_client(self) -> Client:
+        return Client(self._address, keep=1)
+
+    @staticmethod
+    def _read(kind: Any, status: int, body: bytes) -> Any:
+        if status != 200:
+            raise StateError(f"status {status}")
+        try:
+            return decode(kind, body)
+        except BadMessage as problem:
+            raise StateError(f"unreadable answer: {problem}") from None
+
+
+def lease_end(sent: timedelta, ttl: timedelta, margin: timedelta = seconds(0.3)) -> timedelta:
+    """Until when a lease certainly holds, by our own clock, if renewed by a request sent then."""
+    return sent + ttl * 0.999 - margin
--- /dev/null
+++ b/micadeal/wire/codec.py
@@ -0,0 +1,43 @@
+"""MessagePack in and out, with one error type for everything that does not decode."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+
+import msgspec
+
+T = TypeVar("T")
+
+_encoder = msgspec.msgpack.Encoder()
+_decoders: dict[Any, msgspec.msgpack.Decoder[Any]] = {}
+
+
+class BadMessage(ValueError):
+    """The bytes are not a message of the expected form."""
+
+
+def encode(message: Any) -> bytes:
+    return _encoder.encode(message)
+
+
+def decode(kind: type[T], data: bytes) -> T:
+    decoder = _decoders.get(kind)
+    if decoder is None:
+        decoder = _decoders[kind] = msgspec.msgpack.Decoder(kind)
+    try:
+        return decoder.decode(data)  # type: ignore[no-any-return]
+    except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError, RecursionError) as error:
+        raise BadMessage(str(error)) from None
+
+
+def convert(kind: type[T], value: Any) -> T:
+    """Read a value that was decoded without a type (state service data) as ``kind``."""
+    try:
+        return msgspec.convert(value, kind)
+    except (msgspec.ValidationError, RecursionError) as error:
+        raise BadMessage(str(error)) from None
+
+
+def builtins(message: Any) -> Any:
+    """The plain maps and lists of a message, to be embedded in another one."""
+    return msgspec.to_builtins(message)
--- /dev/null
+++ b/micadeal/wire/state.py
@@ -0,0 +1,153 @@
+"""The state service's requests and answers, and the records that we keep in it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from micadeal.wire.users import Status, Submission
+
+
+class Item(
+    msgspec.Struct,
+    rename={"key": "k", "value": "data", "version": "stamp", "lease": "permit"},
+):
+    key: str
+    value: Any
+    version: int
+    lease: int | None = None
+
+
+class Page(msgspec.Struct, rename={"more": "has_next", "revision": "ledger"}):
+    items: list[Item]
+    revision: int
+    more: bool = False
+
+
+class Condition(msgspec.Struct, rename={"key": "k", "version": "stamp"}):
+    key: str
+    version: int
+
+
+class Put(
+    msgspec.Struct,
+    rename={"key": "put", "value": "data", "lease": "permit"},
+    omit_defaults=True,
+):
+    key: str
+    value: Any
+    lease: int | None = None
+
+
+class Drop(msgspec.Struct, rename={"key": "drop"}):
+    key: str
+
+
+class Transaction(
+    msgspec.Struct, rename={"conditions": "if", "changes": "then"}
+):
+    conditions: list[Condition]
+    changes: list[Put | Drop] = []
+
+
+class Revision(msgspec.Struct, rename={"revision": "ledger"}):
+    revision: int = 0
+
+
+class LeaseRequest(msgspec.Struct):
+    ttl_ms: int
+
+
+class LeaseAnswer(msgspec.Struct, rename={"lease": "permit"}):
+    lease: int
+
+
+class Event(
+    msgspec.Struct,
+    rename={"put": "put", "drop": "drop", "value": "data", "version": "stamp"},
+):
+    version: int
+    put: str | None = None
+    drop: str | None = None
+    value: Any = None
+
+
+class Changes(msgspec.Struct, rename={"revision": "ledger", "events": "news"}):
+    revision: int
+    events: list[Event]
+
+
+# -- records of ours ---------------------------------------------------------------------------
+
+
+class LeaderRecord(msgspec.Struct):
+    """Under ``leader``, attached to the state lease it names."""
+
+    controller: str
+    lease: int
+
+
+class JobRecord(msgspec.Struct):
+    """Under ``job/<id>`` as long as the job is neither done nor cancelled."""
+
+    submission: Submission
+    submitted_at: float
+
+
+class EndRecord(msgspec.Struct, omit_defaults=True):
+    """Under ``end/<id>`` for ever: the final answer, and what one task took of a machine, since
+    tasks of a cancelled job count for its team until they are gone."""
+
+    status: Status
+    tasks: int = 0
+    ended_at: float = 0.0
+    team: str = ""
+    cpus: float = 0.0
+    gpus: float = 0.0
+    memory_gb: float = 0.0
+
+
+class FinishedRecord(msgspec.Struct):
+    """Under ``done/<id>/<chunk>``: a base64 bitmap of the finished tasks of one chunk."""
+
+    bits: str
+
+
+class PlacedTask(msgspec.Struct, array_like=True, frozen=True):
+    job_id: str
+    index: int
+    attempt: int
+
+
+class MachineRecord(msgspec.Struct):
+    """Under ``machine/<name>``: what may be on a machine; written before any start."""
+
+    machine_type: str
+    zone: str
+    spot: bool
+    address: str
+    session: int
+    tasks: list[PlacedTask]
+
+
+class BootingMachine(msgspec.Struct, array_like=True, frozen=True):
+    name: str
+    machine_type: str
+    zone: str
+    spot: bool
+    rented_at: float
+
+
+class BootingRecord(msgspec.Struct):
+    """Under ``booting``: rentals that the cloud's lagging list may not show yet."""
+
+    machines: list[BootingMachine]
+
+
+class SettingsRecord(msgspec.Struct, omit_defaults=True):
+    """Under ``settings``: the operators' script and who may check what it evaluated to."""
+
+    script: str
+    applied_at: float
+    values: dict[str, Any] = {}
