--- a/micadeal/controller/plan.py
+++ b/micadeal/controller/plan.py
@@ -57,7 +57,8 @@
     held: set[str] = field(default_factory=set)
     #: For spare room: machines that are kept though nothing waits for them.
     spare: set[str] = field(default_factory=set)
-    kills: list[Victim] = field(default_factory=list)
+    #: For which job, and what.
+    kills: list[tuple[str, Victim]] = field(default_factory=list)
     teams: dict[str, dict[str, TeamState]] = field(default_factory=dict)
 
 
@@ -442,20 +443,19 @@
         if not needy:
             return
         rooms, victims = self._victims()
+        usage = self.cluster.usage()
         for job, tasks, for_guarantee, resource in needy:
             states = self.plan.teams[resource]
-            surplus = {
-                name: state.used - min(state.minimum, state.demand)
-                for name, state in states.items()
-            }
+            # What runs, not what is held for later: only that can be given back.
+            place = 1 - RESOURCES.index(resource)
+            surplus = {name: usage[name][place] - state.minimum for name, state in states.items()}
             rule = ZoneRule(job.spec, self.cluster.zones_of(job))
             for _ in range(tasks):
                 chosen = self._victims_for(job, rule, rooms, victims, for_guarantee, surplus)
                 if chosen is None:
                     break
                 for victim in chosen:
-                    self.plan.kills.append(victim)
-                    states[victim.team].used -= victim.units
+                    self.plan.kills.append((job.id, victim))
                     for machine in {entry[0] for entry in victim.frees}:
                         victims[machine] = [v for v in victims[machine] if v is not victim]
 
--- a/micadeal/controller/scheduler.py
+++ b/micadeal/controller/scheduler.py
@@ -178,9 +178,9 @@
             may_rent=may_rent,
         ).run()
         self.plan = plan
-        for victim in plan.kills:
+        for needy, victim in plan.kills:
             job = self.cluster.jobs[victim.job_id]
-            log.info("%s is stopped to make room", victim.job_id)
+            log.info("%s is stopped to make room for %s", victim.job_id, needy)
             if victim.index is None:
                 self.cluster.stop_job(job, now, save=True)
                 continue
