--- a/micadeal/clock.py
+++ b/micadeal/clock.py
@@ -23,7 +23,7 @@
 
 
 def wall() -> datetime:
-    return datetime.now(UTC)
+    return datetime.fromtimestamp(time.time(), tz=UTC)
 
 
 def seconds(value: float) -> timedelta:
@@ -37,6 +37,7 @@
 async def within(limit: timedelta, work: Awaitable[T]) -> T:
     """Await ``work``; raises ``TimeoutError`` past the limit."""
     try:
-        return await curio.timeout_after(max(limit.total_seconds(), 0.001), work)  # type: ignore[no-any-return]
+        result: T = await curio.timeout_after(max(limit.total_seconds(), 0.001), work)
     except curio.TaskTimeout:
         raise TimeoutError from None
+    return result
--- a/micadeal/controller/cluster.py
+++ b/micadeal/controller/cluster.py
@@ -106,9 +106,7 @@
 
     # -- attempts --------------------------------------------------------------------------
 
-    def place(
-        self, job: Job, index: int, number: int, machine: Machine, now: timedelta
-    ) -> Attempt:
+    def place(self, job: Job, index: int, number: int, machine: Machine, now: timedelta) -> Attempt:
         attempt = Attempt(job.id, index, number, machine.name, now)
         self._adopt(job, machine, attempt)
         machine.images[job.spec.image] = now
@@ -253,8 +251,8 @@
                 self._exited(machine, key, task, now)
             else:
                 self._present(machine, key, _STATES.get(task.state, TaskState.RUNNING), now)
-        for key in [key for key in machine.exited if key not in exited]:
-            del machine.exited[key]
+        for gone in [key for key in machine.exited if key not in exited]:
+            del machine.exited[gone]
         for attempt in [a for key, a in machine.attempts.items() if key not in shown]:
             if self._absent_for_good(attempt, machine, checkin):
                 if attempt.state is not None:
@@ -388,10 +386,11 @@
         if not machine.knows_us or machine.lost:
             return orders
         for attempt in machine.attempts.values():
-            if attempt.durable and attempt.stop is None and attempt.state is None:
-                if self._ours(attempt):
-                    attempt.ordered = seen
-                    orders.append(Order(Verb.START, attempt.task, attempt.number))
+            if not attempt.durable or not self._ours(attempt):
+                continue
+            if attempt.stop is None and attempt.state is None:
+                attempt.ordered = seen
+                orders.append(Order(Verb.START, attempt.task, attempt.number))
         return orders
 
     def stops_for(self, machine: Machine) -> list[Order]:
--- a/micadeal/controller/dispatcher.py
+++ b/micadeal/controller/dispatcher.py
@@ -17,8 +17,8 @@
 from micadeal.controller.scheduler import Scheduler
 from micadeal.fleet.cloud import LIST_EVERY, Cloud, CloudError, NoCapacity
 from micadeal.fleet.offers import Market
-from micadeal.http.client import fetch
 from micadeal.http.message import HttpError
+from micadeal.http.network import Network
 from micadeal.jobs.model import Job
 from micadeal.leadership.term import PeerContact, Power, Term
 from micadeal.operator import answers
@@ -180,6 +180,7 @@
         term: Term,
         types: list[MachineType],
         resign: Callable[[], None],
+        network: Network,
     ) -> None:
         super().__init__(bound=2000)
         now = steady()
@@ -188,11 +189,10 @@
         self._cloud = cloud
         self._term = term
         self._resign = resign
+        self._network = network
         self._peers: list[PeerContact | None] = [None for _ in platform.peers]
         self._cluster = Cluster(term.token, platform.workers, platform.teams, now)
-        self._scheduler = Scheduler(
-            self._cluster, Market(), Policy(), platform.objectives, now
-        )
+        self._scheduler = Scheduler(self._cluster, Market(), Policy(), platform.objectives, now)
         if types:
             self._scheduler.set_catalog(types)
         self._recorder = Recorder(self._cluster, state.limits)
@@ -350,11 +350,11 @@
 
     async def _direct(self, name: str, address: str, message: DirectOrders) -> None:
         try:
-            _, body = await fetch(
-                address, "POST", "/commands", encode(message), timeout=DIRECT_TIME
+            _, body = await self._network.client(address, 0).request(
+                "POST", "/commands", encode(message), timeout=DIRECT_TIME
             )
             await self.tell(DirectAnswer(decode(Report, body)))
-        except (HttpError, TimeoutError, BadMessage, ValueError) as problem:
+        except (HttpError, ValueError) as problem:
             log.debug("%s could not be commanded: %s", name, problem)
         finally:
             self._in_direct.discard(name)
@@ -555,9 +555,7 @@
         # leader may still say, and show what they have.
         self._cluster.direct |= set(self._cluster.machines)
         self._loaded = True
-        log.info(
-            "took over %d jobs and %d machines", len(self._cluster.jobs), len(loaded.machines)
-        )
+        log.info("took over %d jobs and %d machines", len(self._cluster.jobs), len(loaded.machines))
 
     def _load_job(self, item: Item, now: timedelta) -> None:
         try:
@@ -608,4 +606,3 @@
             self._scheduler.policy = policy_from_values(record.values)
         except ValueError as problem:
             log.error("the stored settings are refused: %s", problem)
-
--- a/micadeal/controller/mesh.py
+++ b/micadeal/controller/mesh.py
@@ -11,8 +11,8 @@
 import curio
 
 from micadeal.clock import seconds, sleep, steady
-from micadeal.http.client import Client
 from micadeal.http.message import HttpError
+from micadeal.http.network import AnyClient, Network
 from micadeal.leadership.term import PeerContact
 from micadeal.operator.platform import Peer
 from micadeal.wire.codec import BadMessage, decode, encode
@@ -34,8 +34,8 @@
 @dataclass(slots=True)
 class _Link:
     peer: Peer
-    client: Client
-    pings: Client
+    client: AnyClient
+    pings: AnyClient
     heard: timedelta | None = None
     pong: Pong | None = None
     contact: PeerContact | None = None
@@ -44,10 +44,10 @@
 class Mesh:
     """Owns the links to the peers; ``news`` is told after every answer to a ping."""
 
-    def __init__(self, name: str, peers: tuple[Peer, ...]) -> None:
+    def __init__(self, name: str, peers: tuple[Peer, ...], network: Network) -> None:
         self._name = name
         self._links = {
-            peer.name: _Link(peer, Client(peer.address, keep=4), Client(peer.address, keep=1))
+            peer.name: _Link(peer, network.client(peer.address, 4), network.client(peer.address, 1))
             for peer in peers
         }
         self.leader: str | None = None
@@ -105,7 +105,9 @@
         ]
         return max(contacts, default=None)
 
-    async def send(self, name: str, path: str, message: Any, kind: type[T], timeout: timedelta) -> T:
+    async def send(
+        self, name: str, path: str, message: Any, kind: type[T], timeout: timedelta
+    ) -> T:
         link = self._links.get(name)
         if link is None:
             raise HttpError(f"no controller {name}")
--- a/micadeal/controller/node.py
+++ b/micadeal/controller/node.py
@@ -10,8 +10,9 @@
 import curio
 
 from micadeal.actor import Overloaded, keep_running
-from micadeal.clock import seconds, sleep, steady
+from micadeal.clock import seconds, sleep, steady, wall
 from micadeal.controller.dispatcher import (
+    SETTINGS,
     CancelNotice,
     CountsWanted,
     Dispatcher,
@@ -26,13 +27,15 @@
 from micadeal.fleet.cloud import Cloud, CloudError
 from micadeal.fleet.gate import Gate, Way
 from micadeal.http.message import Answer, HttpError, Request, answer, error
-from micadeal.http.server import Server
+from micadeal.http.network import Network, TcpNetwork
 from micadeal.jobs.desk import Desk
 from micadeal.leadership.election import Deposed, Elected, Election, LeaderSeen, Renewed
 from micadeal.operator.platform import Platform
-from micadeal.state.service import Limits, StateService
-from micadeal.wire.codec import BadMessage, decode
+from micadeal.operator.script import policy_from_values
+from micadeal.state.service import Limits, StateError, StateService, Urgency
+from micadeal.wire.codec import BadMessage, convert, decode
 from micadeal.wire.mesh import Notice, Overview, Ping, Pong, Relay, Relayed, WhyAnswer
+from micadeal.wire.state import Put, SettingsRecord
 from micadeal.wire.workers import Redirect, Report
 
 log = logging.getLogger(__name__)
@@ -46,7 +49,8 @@
 
 
 class Node:
-    def __init__(self, platform: Platform) -> None:
+    def __init__(self, platform: Platform, network: Network | None = None) -> None:
+        self._network = network or TcpNetwork()
         self._platform = platform
         limits = Limits(
             platform.state.rps,
@@ -54,9 +58,9 @@
             platform.state.txn_ops,
             int(platform.state.value_kb * 1024),
         )
-        self._state = StateService(platform.state_address, limits)
-        self._cloud = Cloud(platform.cloud_address, platform.cloud_rps)
-        self._mesh = Mesh(platform.name, platform.peers)
+        self._state = StateService(platform.state_address, limits, self._network)
+        self._cloud = Cloud(platform.cloud_address, platform.cloud_rps, self._network)
+        self._mesh = Mesh(platform.name, platform.peers, self._network)
         self._desk = Desk(self._state, platform.teams, self._cancelled)
         self._gate = Gate()
         self._election = Election(platform.name, self._state, self._on_election)
@@ -66,8 +70,8 @@
 
     async def run(self) -> None:
         most = self._platform.max_connections
-        api = Server(self._platform.listen, self._serve_api, int(most * 0.7))
-        mesh = Server(self._platform.mesh, self._serve_mesh, int(most * 0.1))
+        api = self._network.server(self._platform.listen, self._serve_api, int(most * 0.7))
+        mesh = self._network.server(self._platform.mesh, self._serve_mesh, int(most * 0.1))
         async with curio.TaskGroup() as group:
             for name, work in (
                 ("users' server", api.run),
@@ -104,6 +108,7 @@
                     term,
                     self._desk.types,
                     self._election.resign,
+                    self._network,
                 )
                 self._term_task = await curio.spawn(self._dispatcher.run, daemon=True)
             case Renewed(_, valid_until):
@@ -154,6 +159,10 @@
             return await _only("GET", request, self._ready)
         if path == "/overview":
             return await _only("GET", request, self._overview)
+        if path == "/settings":
+            if request.method == "GET":
+                return await self._show_settings()
+            return await _only("POST", request, self._apply_settings)
         parts = path.split("/")
         if len(parts) == 3 and parts[1] == "work":
             return await _only("GET", request, self._status)
@@ -233,14 +242,41 @@
         found = await self._ask_leader(WhyWanted(job_id), "/why", Notice(job_id), WhyAnswer | None)
         if isinstance(found, Answer):
             return found
-        return error(404, "not waiting or running: see its status") if found is None else answer(
-            200, found
+        return (
+            error(404, "not waiting or running: see its status")
+            if found is None
+            else answer(200, found)
         )
 
     async def _overview(self, _: Request) -> Answer:
         found = await self._ask_leader(OverviewWanted(), "/overview", None, Overview)
         return found if isinstance(found, Answer) else answer(200, found)
 
+    async def _show_settings(self) -> Answer:
+        try:
+            item = await self._state.get(SETTINGS)
+        except StateError:
+            return error(503, "the state service does not answer", RETRY)
+        if item is None:
+            return answer(200, SettingsRecord(""))
+        return answer(200, convert(SettingsRecord, item.value))
+
+    async def _apply_settings(self, request: Request) -> Answer:
+        """The client has evaluated the script; its values are checked again before they count."""
+        try:
+            sent = decode(SettingsRecord, request.body)
+            policy_from_values(sent.values)
+        except ValueError as problem:
+            return error(400, str(problem))
+        record = SettingsRecord(sent.script, wall().timestamp(), sent.values)
+        if len(request.body) > self._state.limits.value_bytes - 256:
+            return error(400, "the script is too large for the state service")
+        try:
+            await self._state.commit([], [Put(SETTINGS, record)], Urgency.USER)
+        except StateError:
+            return error(503, "the state service does not answer", RETRY)
+        return answer(200, record)
+
     async def _ask_leader(self, message: Any, path: str, wire: Any, kind: Any) -> Any:
         try:
             if self._dispatcher is not None:
--- a/micadeal/controller/plan.py
+++ b/micadeal/controller/plan.py
@@ -7,11 +7,11 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from micadeal.controller.cluster import Cluster
-from micadeal.fleet.model import Machine
+from micadeal.fleet.model import Attempt, Machine
 from micadeal.fleet.offers import Market, Offer
 from micadeal.jobs.model import Job
 from micadeal.operator.policy import Policy
@@ -297,7 +297,9 @@
             job.reasons[reason] += waiting
             return 0.0
         if len(job.errors) > 1 and job.attempts:
-            job.reasons["only one task at a time is tried after errors on several machines"] += waiting
+            job.reasons["only one task at a time is tried after errors on several machines"] += (
+                waiting
+            )
             return 0.0
         rule = ZoneRule(job.spec, self._zones(job))
         room = choose(job.spec, self._open_rooms(job), rule, self.spot_scarce)
@@ -465,7 +467,9 @@
         lacking: dict[tuple[str, str], tuple[float, bool]] = {}
         for resource, states in self.plan.teams.items():
             for name, state in states.items():
-                timer = self.timers.setdefault((name, resource), StarvationTimer(self.now, self.now))
+                timer = self.timers.setdefault(
+                    (name, resource), StarvationTimer(self.now, self.now)
+                )
                 used = self.cluster.usage()[name][1 - RESOURCES.index(resource)]
                 team = self.policy.team(name)
                 timer.update(self.now, used, state.demand, state.minimum, state.share)
@@ -480,7 +484,7 @@
                 )
         seen: set[str] = set()
         for job, _ in self.unplaced:
-            if job.id in seen or job.is_gang and job.spec.tasks > 1:
+            if job.id in seen or (job.is_gang and job.spec.tasks > 1):
                 continue
             seen.add(job.id)
             count = job.waiting_count()
@@ -495,11 +499,11 @@
 
     def _victims(self) -> tuple[dict[str, Room], dict[str, list[Victim]]]:
         """Rooms as they will be when all that is stopping has stopped, and what could be killed."""
-        rooms = {room.name: replace(room) for room in build_rooms(self.cluster, self.now) if room.up}
+        rooms = {room.name: room for room in build_rooms(self.cluster, self.now) if room.up}
         by_machine: dict[str, list[Victim]] = {}
         for job in self.cluster.live_jobs():
             if job.production or job.is_service:
-                groups: list[list] = []
+                groups: list[list[Attempt]] = []
             elif job.is_gang:
                 groups = [list(job.all_attempts())]
             else:
@@ -521,8 +525,8 @@
                     None if job.is_gang else running[0].index,
                     job.can_save,
                 )
-                for machine in {a.machine for a in running}:
-                    by_machine.setdefault(machine, []).append(victim)
+                for name in {a.machine for a in running}:
+                    by_machine.setdefault(name, []).append(victim)
         for machine in self.cluster.machines.values():
             room = rooms.get(machine.name)
             if room is None:
@@ -565,11 +569,10 @@
         for victim in chosen:
             surplus[victim.team] = surplus.get(victim.team, 0.0) - victim.units
             for machine, cpus, gpus, memory in victim.frees:
-                room = rooms.get(machine)
-                if room is not None:
-                    room.cpus += cpus
-                    room.gpus += gpus
-                    room.memory_gb += memory
+                if (freed := rooms.get(machine)) is not None:
+                    freed.cpus += cpus
+                    freed.gpus += gpus
+                    freed.memory_gb += memory
         for room in usable:
             if room.fits(spec):
                 room.book(spec)
--- a/micadeal/controller/records.py
+++ b/micadeal/controller/records.py
@@ -132,9 +132,7 @@
         conditions = tuple(
             Condition(key, self.versions.get(key, 0)) for key in map(_key, operations)
         )
-        return Changes(
-            tuple(operations), conditions, urgency, tuple(machines), tuple(finished)
-        )
+        return Changes(tuple(operations), conditions, urgency, tuple(machines), tuple(finished))
 
     def _add_machine(
         self,
--- a/micadeal/controller/scheduler.py
+++ b/micadeal/controller/scheduler.py
@@ -1,4 +1,4 @@
-"""The leader's decisions over time: passes, machines that come and go, what operators ask.  No I/O."""
+"""The leader's decisions over time: passes, and machines that come and go.  No I/O."""
 
 from __future__ import annotations
 
@@ -70,7 +70,7 @@
         self.releases: set[str] = set()
         self.listed = False
         self._rentals = 0
-        self._last_pass = timedelta.min
+        self._last_pass: timedelta | None = None
         self._arrivals: dict[str, Arrivals] = {}
         self._direct_again: dict[str, timedelta] = {}
 
@@ -158,16 +158,15 @@
         """Look at the clock; a pass if something changed or the refresh period is over."""
         self.cluster.expire(now)
         self._drain(now)
-        if self.cluster.changed or now - self._last_pass >= self.policy.refresh:
+        due = self._last_pass is None or now - self._last_pass >= self.policy.refresh
+        if self.cluster.changed or due:
             self._pass(now)
         self._look_after_machines(now)
 
     def _pass(self, now: timedelta) -> None:
         self.cluster.changed = False
         self._last_pass = now
-        may_rent = (
-            self.rental is None and self.listed and now - self.cluster.began >= COUNTING_TIME
-        )
+        may_rent = self.rental is None and self.listed and now - self.cluster.began >= COUNTING_TIME
         plan = Pass(
             self.cluster,
             self.market,
@@ -266,9 +265,7 @@
         for name in self.cluster.direct:
             self._direct_again[name] = now + seconds(2)
 
-    def _reason_to_return(
-        self, machine: Machine, now: timedelta, silence: timedelta
-    ) -> str | None:
+    def _reason_to_return(self, machine: Machine, now: timedelta, silence: timedelta) -> str | None:
         kind = self.cluster.types.get(machine.machine_type)
         if machine.listed_failed and (machine.lost or not machine.up):
             return "it failed"
--- a/micadeal/fleet/cloud.py
+++ b/micadeal/fleet/cloud.py
@@ -7,8 +7,8 @@
 from urllib.parse import quote
 
 from micadeal.clock import ZERO, seconds, sleep, steady
-from micadeal.http.client import Client
 from micadeal.http.message import HttpError
+from micadeal.http.network import Network
 from micadeal.state.budget import Budget
 from micadeal.wire.cloud import (
     Catalog,
@@ -38,8 +38,8 @@
 
 
 class Cloud:
-    def __init__(self, address: str, rps: float) -> None:
-        self._client = Client(address, keep=3)
+    def __init__(self, address: str, rps: float, network: Network) -> None:
+        self._client = network.client(address, 3)
         self._budget = Budget(rps * 0.8, rps * 1.6, steady())
 
     async def _request(
@@ -102,4 +102,3 @@
         return decode(kind, body)
     except BadMessage as problem:
         raise CloudError(f"unreadable answer: {problem}") from None
-
--- a/micadeal/fleet/offers.py
+++ b/micadeal/fleet/offers.py
@@ -69,7 +69,9 @@
                 for zone in kind.zones:
                     offer = Offer(kind.name, zone, spot)
                     if allowed(spec, kind.name, zone, spot) and not self.paused(offer, now):
-                        found.append((_per_task(spec, kind, price), present[zone], zone, offer, kind))
+                        found.append(
+                            (_per_task(spec, kind, price), present[zone], zone, offer, kind)
+                        )
         found.sort(key=lambda entry: entry[:3])
         for _, _, _, offer, kind in found:
             yield offer, kind
--- a/micadeal/http/client.py
+++ b/micadeal/http/client.py
@@ -98,9 +98,7 @@
     async def close(self) -> None:
         await self._sock.close()
 
-    async def exchange(
-        self, host: str, method: str, target: str, body: bytes
-    ) -> tuple[int, bytes]:
+    async def exchange(self, host: str, method: str, target: str, body: bytes) -> tuple[int, bytes]:
         self.reusable = False
         http = self._http
         headers = [("Host", host), ("Content-Length", str(len(body)))]
--- a/micadeal/jobs/model.py
+++ b/micadeal/jobs/model.py
@@ -87,9 +87,7 @@
 
     def running_count(self) -> int:
         return sum(
-            1
-            for attempts in self.attempts.values()
-            if any(attempt.running for attempt in attempts)
+            1 for attempts in self.attempts.values() if any(attempt.running for attempt in attempts)
         )
 
     def all_attempts(self) -> Iterator[Attempt]:
--- a/micadeal/operator/script.py
+++ b/micadeal/operator/script.py
@@ -12,7 +12,7 @@
 from micadeal.operator.policy import Policy, TeamPolicy
 from micadeal.wire.codec import BadMessage, convert
 
-EXAMPLE = '''\
+EXAMPLE = """\
 # Every name may be left out.  Durations are in seconds.
 refresh_s = 2           # how often shares are computed
 minimum_timeout_s = 15  # below its guarantee for this long, a team takes room from others
@@ -22,7 +22,7 @@
     "team-a": {"weight": 2.0, "running_jobs": 40},
     "team-b": {"order": "submitted", "minimum_timeout_s": 5},
 }
-'''
+"""
 
 
 class BadScript(ValueError):
--- a/micadeal/state/service.py
+++ b/micadeal/state/service.py
@@ -7,12 +7,12 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import IntEnum
-from typing import Any
+from typing import TypeVar
 from urllib.parse import quote
 
 from micadeal.clock import ZERO, seconds, sleep, steady
-from micadeal.http.client import Client
 from micadeal.http.message import HttpError
+from micadeal.http.network import AnyClient, Network
 from micadeal.state.budget import Budget
 from micadeal.wire.codec import BadMessage, decode, encode
 from micadeal.wire.state import (
@@ -30,6 +30,8 @@
 
 log = logging.getLogger(__name__)
 
+T = TypeVar("T")
+
 REQUEST_TIME = timedelta(seconds=2)
 PAGE = 500
 
@@ -79,10 +81,11 @@
     bucket after a 429.
     """
 
-    def __init__(self, address: str, limits: Limits) -> None:
+    def __init__(self, address: str, limits: Limits, network: Network) -> None:
         now = steady()
         self.limits = limits
-        self._client = Client(address, keep=6)
+        self._network = network
+        self._client = network.client(address, 6)
         self._address = address
         self._requests = Budget(limits.requests_per_s * 0.6, limits.requests_per_s * 0.6, now)
         self._changes = Budget(limits.changes_per_s * 0.8, limits.changes_per_s * 0.8, now)
@@ -115,7 +118,7 @@
         urgency: Urgency,
         changes: int = 0,
         timeout: timedelta = REQUEST_TIME,
-        client: Client | None = None,
+        client: AnyClient | None = None,
         spare: timedelta = ZERO,
     ) -> tuple[int, bytes]:
         await self._pay(changes, urgency, steady() + timeout)
@@ -143,9 +146,7 @@
             return None
         return self._read(Item, status, body)
 
-    async def range(
-        self, prefix: str, urgency: Urgency = Urgency.USER
-    ) -> tuple[list[Item], int]:
+    async def range(self, prefix: str, urgency: Urgency = Urgency.USER) -> tuple[list[Item], int]:
         """All items under ``prefix``, and a revision from which a watch misses nothing."""
         items: list[Item] = []
         revision: int | None = None
@@ -198,9 +199,7 @@
     async def end_lease(self, lease: int) -> None:
         await self._request("DELETE", f"/leases/{lease}", urgency=Urgency.LEASE)
 
-    async def changes(
-        self, prefix: str, after: int, hold: timedelta, client: Client
-    ) -> Changes:
+    async def changes(self, prefix: str, after: int, hold: timedelta, client: AnyClient) -> Changes:
         """What changed under ``prefix``; waits up to ``hold``.  ``client`` is the watch's own."""
         milliseconds = round(hold.total_seconds() * 1000)
         target = f"/changes?starts={quote(prefix)}&after={after}&hold_ms={milliseconds}"
@@ -211,11 +210,11 @@
             raise TooOld
         return self._read(Changes, status, body)
 
-    def watch_client(self) -> Client:
-        return Client(self._address, keep=1)
+    def watch_client(self) -> AnyClient:
+        return self._network.client(self._address, 1)
 
     @staticmethod
-    def _read(kind: Any, status: int, body: bytes) -> Any:
+    def _read(kind: type[T], status: int, body: bytes) -> T:
         if status != 200:
             raise StateError(f"status {status}")
         try:
--- a/micadeal/wire/codec.py
+++ b/micadeal/wire/codec.py
@@ -26,7 +26,12 @@
         decoder = _decoders[kind] = msgspec.msgpack.Decoder(kind)
     try:
         return decoder.decode(data)  # type: ignore[no-any-return]
-    except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError, RecursionError) as error:
+    except (
+        msgspec.DecodeError,
+        msgspec.ValidationError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as error:
         raise BadMessage(str(error)) from None
 
 
--- a/micadeal/wire/state.py
+++ b/micadeal/wire/state.py
@@ -44,9 +44,7 @@
     key: str
 
 
-class Transaction(
-    msgspec.Struct, rename={"conditions": "if", "changes": "then"}
-):
+class Transaction(msgspec.Struct, rename={"conditions": "if", "changes": "then"}):
     conditions: list[Condition]
     changes: list[Put | Drop] = []
 
@@ -149,5 +147,5 @@
     """Under ``settings``: the operators' script and who may check what it evaluated to."""
 
     script: str
-    applied_at: float
+    applied_at: float = 0.0
     values: dict[str, Any] = {}
--- a/micadeal/wire/users.py
+++ b/micadeal/wire/users.py
@@ -79,9 +79,7 @@
     job_id: str
 
 
-class JobAnswer(
-    msgspec.Struct, rename={"job_id": "name_id"}, omit_defaults=True
-):
+class JobAnswer(msgspec.Struct, rename={"job_id": "name_id"}, omit_defaults=True):
     job_id: str
     status: Status
     done: int | None = None
--- /dev/null
+++ b/tests/fakes/cloud.py
@@ -0,0 +1,129 @@
+"""The cloud, from the protocol: rentals by name, a lagging list, refusals."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+from micadeal.clock import steady
+from micadeal.http.message import Answer, Request, answer, error
+from micadeal.wire.codec import decode
+
+ADDRESS = "10.2.0.2:8443"
+HOST = "cloud"
+
+
+@dataclass
+class Rented:
+    name: str
+    address: str
+    zone: str
+    spot: bool
+    since: float
+    up_at: float | None
+    running: bool = False
+
+
+class FakeCloud:
+    """``boot`` starts a worker on a machine; ``kill`` ends it with everything on it."""
+
+    def __init__(
+        self,
+        zones: list[str],
+        boot: Callable[[Rented], Awaitable[None]],
+        kill: Callable[[str], None],
+        boot_s: float = 10.0,
+        capacity: int = 10,
+        lag_s: float = 3.0,
+    ) -> None:
+        self._zones = zones
+        self._boot = boot
+        self._kill = kill
+        self.boot_s = boot_s
+        self.capacity = dict.fromkeys([(z, s) for z in zones for s in (False, True)], capacity)
+        self._lag = lag_s
+        self.machines: dict[str, Rented] = {}
+        self._answers: dict[str, list[str]] = {}
+        self._history: list[tuple[float, list[dict[str, Any]]]] = []
+        self._count = 0
+        self.never_boot: set[int] = set()
+        self.rentals = 0
+        self.releases: list[str] = []
+
+    def catalog(self) -> dict[str, Any]:
+        return {
+            "rigs": [
+                {
+                    "sku": "box", "vcpus": 8.0, "accelerators": 2.0, "ram_gb": 64.0,
+                    "local_gb": 50.0, "fetch_gb_per_s": 1.0, "hourly": 6.0, "low_price": 2.0,
+                    "boot_s": self.boot_s, "depots": self._zones,
+                }
+            ]
+        }  # fmt: skip
+
+    async def step(self) -> None:
+        now = steady().total_seconds()
+        for machine in list(self.machines.values()):
+            if not machine.running and machine.up_at is not None and now >= machine.up_at:
+                machine.running = True
+                await self._boot(machine)
+        self._history.append(
+            (
+                now,
+                [
+                    {
+                        "name_id": m.name, "addr": m.address, "rig": "box", "depot": m.zone,
+                        "loaners": m.spot, "status": "running" if m.running else "booting",
+                        "held_s": now - m.since,
+                    }
+                    for m in self.machines.values()
+                ],
+            )
+        )  # fmt: skip
+        self._history = [entry for entry in self._history if entry[0] >= now - 3 * self._lag]
+
+    async def add(self, zone: str, spot: bool, up_in: float) -> str:
+        self._count += 1
+        name = f"i-{self._count:06d}"
+        now = steady().total_seconds()
+        up_at = None if self._count in self.never_boot else now + up_in
+        self.machines[name] = Rented(
+            name, f"10.1.{self._count // 250}.{self._count % 250 + 1}:9000", zone, spot, now, up_at
+        )
+        return name
+
+    def take(self, name: str) -> None:
+        """A spot machine is taken, or any machine dies."""
+        self.machines.pop(name, None)
+        self._kill(name)
+
+    async def handle(self, request: Request) -> Answer:
+        if request.path == "/catalog":
+            return answer(200, self.catalog())
+        if request.path == "/rentals/release":
+            for name in decode(dict, request.body)["hosts"]:
+                if name in self.machines:
+                    machine = self.machines[name]
+                    self.capacity[machine.zone, machine.spot] += 1
+                    self.releases.append(name)
+                    self.take(name)
+            return answer(200, {})
+        if request.method == "POST":
+            return await self._rent(decode(dict, request.body))
+        now = steady().total_seconds()
+        old = [entries for at, entries in self._history if at <= now - self._lag]
+        return answer(200, {"hosts": old[-1] if old else [], "has_next": False})
+
+    async def _rent(self, wanted: dict[str, Any]) -> Answer:
+        if wanted["hire"] in self._answers:
+            return answer(200, {"hosts": self._answers[wanted["hire"]]})
+        place = (wanted["depot"], wanted["loaners"])
+        count = min(wanted["how_many"], self.capacity[place])
+        if not count:
+            return error(503, "no capacity")
+        self.capacity[place] -= count
+        self.rentals += count
+        names = [await self.add(*place, up_in=self.boot_s) for _ in range(count)]
+        self._answers[wanted["hire"]] = names
+        return answer(200, {"hosts": names})
--- /dev/null
+++ b/tests/fakes/network.py
@@ -0,0 +1,147 @@
+"""A network of requests: delays, cuts that stay silent, packets held and delivered late."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import curio
+
+from micadeal.clock import steady
+from micadeal.http.message import Answer, HttpError, Request
+
+Handler = Callable[[Request], Awaitable[Answer]]
+
+SILENT, HOLD = "silent", "hold"
+
+
+class FakeNetwork:
+    """Routes requests between hosts by name.
+
+    An address belongs to the host that serves it.  A cut between two hosts either swallows
+    requests or holds them: then they are delivered when the cut ends, and nobody hears the answer.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self._random = random.Random(seed)
+        self._servers: dict[str, tuple[str, Handler]] = {}
+        self._cuts: dict[frozenset[str], str] = {}
+        self._ended: dict[frozenset[str], curio.Event] = {}
+
+    def serve(self, host: str, address: str, handler: Handler) -> None:
+        self._servers[address] = (host, handler)
+
+    def close(self, host: str) -> None:
+        for address in [a for a, (owner, _) in self._servers.items() if owner == host]:
+            del self._servers[address]
+
+    def cut(self, one: str, other: str, mode: str = SILENT) -> None:
+        self._cuts[frozenset((one, other))] = mode
+        self._ended[frozenset((one, other))] = curio.Event()
+
+    async def heal(self, one: str, other: str) -> None:
+        pair = frozenset((one, other))
+        if self._cuts.pop(pair, None) is not None:
+            await self._ended[pair].set()
+
+    def seen_from(self, host: str, owner: HostPower | None = None) -> HostNetwork:
+        return HostNetwork(self, host, owner or HostPower())
+
+    async def request(
+        self, source: str, address: str, request: Request, timeout: timedelta
+    ) -> tuple[int, bytes]:
+        deadline = steady() + timeout
+        await self._travel()
+        found = self._servers.get(address)
+        if found is None:
+            raise HttpError(f"{address}: refused")
+        host, handler = found
+        pair = frozenset((source, host))
+        mode = self._cuts.get(pair)
+        if mode is not None:
+            if mode == HOLD:
+                await curio.spawn(self._deliver_late, pair, address, request, daemon=True)
+            await curio.sleep(max((deadline - steady()).total_seconds(), 0))
+            raise HttpError(f"{address}: no answer in time")
+        try:
+            async with curio.timeout_after(max((deadline - steady()).total_seconds(), 0.001)):
+                reply = await handler(request)
+        except curio.TaskTimeout:
+            raise HttpError(f"{address}: no answer in time") from None
+        if pair in self._cuts:
+            await curio.sleep(max((deadline - steady()).total_seconds(), 0))
+            raise HttpError(f"{address}: the answer was lost")
+        await self._travel()
+        return reply.status, reply.body
+
+    async def _deliver_late(self, pair: frozenset[str], address: str, request: Request) -> None:
+        await self._ended[pair].wait()
+        found = self._servers.get(address)
+        if found is not None:
+            await found[1](request)
+
+    async def _travel(self) -> None:
+        await curio.sleep(self._random.uniform(0.0005, 0.003))
+
+
+class HostPower:
+    """Whether a host's process still runs: what is left of a dead one reaches nobody."""
+
+    def __init__(self) -> None:
+        self.on = True
+
+
+class HostNetwork:
+    """The network as one process sees it."""
+
+    def __init__(self, network: FakeNetwork, host: str, power: HostPower) -> None:
+        self._network = network
+        self._host = host
+        self._power = power
+
+    def client(self, address: str, keep: int) -> FakeClient:
+        return FakeClient(self._network, self._host, self._power, address)
+
+    def server(self, address: tuple[str, int], handler: Handler, most: int) -> FakeServer:
+        return FakeServer(self._network, self._host, f"{address[0]}:{address[1]}", handler)
+
+
+class FakeClient:
+    def __init__(self, network: FakeNetwork, host: str, power: HostPower, address: str) -> None:
+        self._network = network
+        self._host = host
+        self._power = power
+        self._address = address
+
+    async def request(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        *,
+        timeout: timedelta,
+        repeatable: bool = True,
+    ) -> tuple[int, bytes]:
+        if not self._power.on:
+            await curio.sleep(3600)
+        path, _, query = target.partition("?")
+        request = Request(method, path, query, body)
+        result = await self._network.request(self._host, self._address, request, timeout)
+        if not self._power.on:
+            await curio.sleep(3600)
+        return result
+
+    async def close(self) -> None:
+        pass
+
+
+class FakeServer:
+    def __init__(self, network: FakeNetwork, host: str, address: str, handler: Handler) -> None:
+        self._network, self._host = network, host
+        self._address, self._handler = address, handler
+
+    async def run(self) -> None:
+        self._network.serve(self._host, self._address, self._handler)
+        while True:
+            await curio.sleep(3600)
