Gang rentals within what refusals left; idle machines kept for half a boot time

Cause: gangs rented part of their machines in one zone after the other, since a paused zone made the next one look feasible; what had come was returned idle. Excluded: scatter of services (their machine counts were the same).

--- a/micadeal/controller/cluster.py
+++ b/micadeal/controller/cluster.py
@@ -15,6 +15,7 @@
 
 from micadeal.clock import DRIFT, ZERO, seconds
 from micadeal.fleet.model import Attempt, Machine
+from micadeal.fleet.offers import Offer
 from micadeal.jobs.model import CHUNK, Job
 from micadeal.operator.platform import Team, Workers
 from micadeal.wire.cloud import MachineType
@@ -472,6 +473,15 @@
                 entry[1] += count * job.spec.gpus
         return {name: (entry[0], entry[1]) for name, entry in used.items()}
 
+    def held(self, offer: Offer) -> int:
+        """Machines that we have of an offer."""
+        return sum(
+            1
+            for machine in self.machines.values()
+            if (machine.machine_type, machine.zone, machine.spot)
+            == (offer.machine_type, offer.zone, offer.spot)
+        )
+
     def zones_of(self, job: Job) -> Counter[str]:
         zones: Counter[str] = Counter()
         for attempt in job.all_attempts():
--- a/micadeal/controller/plan.py
+++ b/micadeal/controller/plan.py
@@ -387,6 +387,10 @@
             since=self.now,
         )
 
+    def _held(self, offer: Offer) -> int:
+        """Machines that we have of an offer, or ask for in this pass."""
+        return self.cluster.held(offer) + self.plan.rentals[offer]
+
     def _count_wish(self, room: Room) -> None:
         self.wishes += 1
         self.present[room.zone] += 1
@@ -412,7 +416,11 @@
         for offer, kind in self.market.choices(spec, self.now, self.present):
             if offer.zone not in seen:
                 seen.add(offer.zone)
-                wishes += [self._new_room(offer, kind) for _ in range(min(spec.tasks, MOST_WISHES))]
+                count = min(spec.tasks, MOST_WISHES)
+                left = self.market.left(offer, self._held(offer), self.now)
+                if left is not None:
+                    count = min(count, left)
+                wishes += [self._new_room(offer, kind) for _ in range(count)]
         return wishes
 
     def _no_room_reason(self, job: Job) -> str:
--- a/micadeal/controller/scheduler.py
+++ b/micadeal/controller/scheduler.py
@@ -28,8 +28,9 @@
 MOST_PER_RENTAL = 50
 #: Charged anyway (PROTOCOL, cloud): returning a machine earlier saves nothing.
 MINIMUM_CHARGE = seconds(60)
-#: An idle machine is kept this long past its minimum charge: work often follows work.
-IDLE_KEEP = seconds(6)
+#: An idle machine is kept for this share of its type's boot time: to rent it anew costs a boot
+#: and the fetch of its images, and makes work wait for both.
+IDLE_SHARE = 0.5
 #: A machine still booting after so many times its type's boot time is given up.
 BOOT_PATIENCE = 3.0
 #: A silent machine is given back when its lease and this have passed.
@@ -133,18 +134,19 @@
         self.rental = None
         offer = Offer(request.machine_type, request.zone, request.spot)
         self.market.granted(offer)
-        if len(names) < request.count:
-            self.market.refused(offer, now)
         for name in names:
             if name not in self.cluster.machines and name not in self.cluster.gone:
                 self.cluster.machines[name] = Machine(
                     name, "", request.machine_type, request.zone, request.spot, now, now
                 )
+        if len(names) < request.count:
+            self.market.refused(offer, self.cluster.held(offer), now)
         self.cluster.changed = True
 
     def rental_refused(self, request: RentalRequest, now: timedelta) -> None:
         self.rental = None
-        self.market.refused(Offer(request.machine_type, request.zone, request.spot), now)
+        offer = Offer(request.machine_type, request.zone, request.spot)
+        self.market.refused(offer, self.cluster.held(offer), now)
         self.cluster.changed = True
 
     def released(self, names: Iterable[str], now: timedelta) -> None:
@@ -302,7 +304,8 @@
         idle = now - (machine.idle_since or now)
         if machine.idle_since is None:
             machine.idle_since = now
-        if idle > IDLE_KEEP and machine.age(now) > MINIMUM_CHARGE - seconds(3):
+        keep = seconds(kind.boot_s if kind else 30.0) * IDLE_SHARE
+        if idle > keep and machine.age(now) > MINIMUM_CHARGE - seconds(3):
             return "it is idle"
         return None
 
--- a/micadeal/fleet/offers.py
+++ b/micadeal/fleet/offers.py
@@ -14,6 +14,8 @@
 
 FIRST_PAUSE = seconds(6)
 LONGEST_PAUSE = seconds(40)
+#: For so long a refusal is taken to tell how many machines can be had.
+REFUSAL_MEMORY = seconds(120)
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,8 +32,11 @@
     types: dict[str, MachineType] = field(default_factory=dict)
     _until: dict[Offer, timedelta] = field(default_factory=dict)
     _pause: dict[Offer, timedelta] = field(default_factory=dict)
+    #: How many machines we held of an offer when more were refused, and when that was.
+    _most: dict[Offer, tuple[int, timedelta]] = field(default_factory=dict)
 
-    def refused(self, offer: Offer, now: timedelta) -> None:
+    def refused(self, offer: Offer, held: int, now: timedelta) -> None:
+        self._most[offer] = (held, now)
         pause = min(self._pause.get(offer, FIRST_PAUSE / 2) * 2, LONGEST_PAUSE)
         self._pause[offer] = pause
         self._until[offer] = now + pause
@@ -40,6 +45,17 @@
         self._pause.pop(offer, None)
         self._until.pop(offer, None)
 
+    def left(self, offer: Offer, held: int, now: timedelta) -> int | None:
+        """How many more can be had, as far as the last refusal tells; None: not known.
+
+        Guards against renting part of a gang's machines in one zone after the other: each time
+        what had come was returned idle, and charged.
+        """
+        found = self._most.get(offer)
+        if found is None or now - found[1] > REFUSAL_MEMORY:
+            return None
+        return max(0, found[0] - held)
+
     def paused(self, offer: Offer, now: timedelta) -> bool:
         until = self._until.get(offer)
         return until is not None and now < until
