--- a/micadeal/controller/scheduler.py
+++ b/micadeal/controller/scheduler.py
@@ -37,6 +37,8 @@
 SILENT_PATIENCE = seconds(45)
 #: How long after taking over renting waits for machines that have not reported yet.
 COUNTING_TIME = seconds(4)
+#: How often the log gets a line on machines and tasks.
+LINE_EVERY = seconds(15)
 #: Times of arrivals kept per class.
 ARRIVALS = 40
 
@@ -72,6 +74,7 @@
         self.listed = False
         self._rentals = 0
         self._last_pass: timedelta | None = None
+        self._last_line: timedelta | None = None
         self._arrivals: dict[str, Arrivals] = {}
         self._direct_again: dict[str, timedelta] = {}
 
@@ -164,6 +167,32 @@
         if self.cluster.changed or due:
             self._pass(now)
         self._look_after_machines(now)
+        if self._last_line is None or now - self._last_line >= LINE_EVERY:
+            self._last_line = now
+            log.info("%s", self._status_line())
+
+    def _status_line(self) -> str:
+        """Machines and booked accelerators at a glance, for the log."""
+        cluster = self.cluster
+        parts: list[str] = []
+        for spot in (False, True):
+            machines = [m for m in cluster.machines.values() if m.spot is spot]
+            up = [m for m in machines if m.up and not m.lost]
+            running = fetching = 0
+            for machine in up:
+                for attempt in machine.attempts.values():
+                    if attempt.running_since is not None:
+                        running += 1
+                    else:
+                        fetching += 1
+            empty = sum(1 for m in up if not m.attempts)
+            parts.append(
+                f"{'spot' if spot else 'ordinary'}: {len(up)} up ({empty} empty), "
+                f"{sum(1 for m in machines if not m.up)} booting, "
+                f"{running} tasks running, {fetching} starting"
+            )
+        waiting = sum(job.waiting_count() for job in cluster.live_jobs())
+        return "; ".join([*parts, f"{waiting} tasks waiting"])
 
     def _pass(self, now: timedelta) -> None:
         self.cluster.changed = False
@@ -211,8 +240,6 @@
             boots = [kind.boot_s for kind in self.market.types.values()]
             if not boots or objective.within >= seconds(min(boots)):
                 continue
-            if arrivals.spec.spot_allowed:
-                continue
             result.append(Expected(arrivals.spec, self._likely(arrivals, now, min(boots))))
         return result
 
