--- a/micadeal/controller/cluster.py
+++ b/micadeal/controller/cluster.py
@@ -32,6 +32,8 @@
 LEASE_MARGIN = seconds(1.5)
 #: What the worker gets beyond the time a task needs to save.
 GRACE_MARGIN = seconds(2)
+#: Images named in a machine's record.
+MOST_IMAGES = 20
 _STATES = {state.value: state for state in TaskState}
 
 
@@ -162,6 +164,8 @@
         self.machines[name] = machine
         machine.session = record.session
         machine.recorded = frozenset(record.tasks)
+        for age, image in enumerate(record.images):
+            machine.images[image] = now - seconds(age)
         for placed in record.tasks:
             job = self._job_or_ghost(placed.job_id)
             attempt = Attempt(placed.job_id, placed.index, placed.attempt, name, now, durable=True)
@@ -295,6 +299,14 @@
         if state is not attempt.state:
             if state is TaskState.RUNNING and attempt.running_since is None:
                 attempt.running_since = now
+                log.debug(
+                    "%s of %s runs on %s %.1f s after its submission, %.1f s after its placement",
+                    attempt.task,
+                    self.jobs[key[0]].spec.job_class,
+                    machine.name,
+                    (now - self.jobs[key[0]].submitted).total_seconds(),
+                    (now - attempt.placed).total_seconds(),
+                )
             attempt.state = state
         job = self.jobs[key[0]]
         if not job.over:
@@ -447,6 +459,9 @@
             sorted(
                 machine.wanted_record(), key=lambda task: (task.job_id, task.index, task.attempt)
             ),
+            sorted(machine.images, key=lambda name: machine.images[name], reverse=True)[
+                :MOST_IMAGES
+            ],
         )
 
     def recorded(self, machine: Machine, tasks: Iterable[PlacedTask]) -> None:
--- a/micadeal/controller/plan.py
+++ b/micadeal/controller/plan.py
@@ -68,6 +68,8 @@
 
     spec: Submission
     tasks: int
+    #: Images that jobs of the class asked for lately.
+    images: frozenset[str] = frozenset()
 
 
 def build_rooms(cluster: Cluster, now: timedelta) -> list[Room]:
@@ -437,7 +439,14 @@
         """Hold room for work of a class whose tasks are to start sooner than a machine boots."""
         for _ in range(work.tasks):
             rule = ZoneRule(work.spec)
-            room = choose(work.spec, self.rooms, rule, False)
+            # Room that holds more of the class's images is worth more: a fetch takes longer than
+            # such a class may wait.
+            open_rooms = [r for r in self.rooms if r.fits(work.spec)]
+            most = max((len(r.images & work.images) for r in open_rooms if r.up), default=0)
+            best = [r for r in open_rooms if r.up and len(r.images & work.images) == most]
+            room = choose(work.spec, best, rule, False) or choose(
+                work.spec, open_rooms, rule, False
+            )
             if room is None:
                 room = self._wish(work.spec, rule)
             if room is None:
--- a/micadeal/controller/scheduler.py
+++ b/micadeal/controller/scheduler.py
@@ -49,6 +49,7 @@
 
     times: deque[timedelta] = field(default_factory=lambda: deque(maxlen=ARRIVALS))
     spec: Submission | None = None
+    images: deque[str] = field(default_factory=lambda: deque(maxlen=ARRIVALS))
 
 
 class Scheduler:
@@ -92,6 +93,7 @@
         arrivals = self._arrivals.setdefault(job.spec.job_class, Arrivals())
         arrivals.times.append(max(job.submitted, now - seconds(600)))
         arrivals.spec = job.spec
+        arrivals.images.append(job.spec.image)
 
     def on_report(
         self, report: Report, now: timedelta, *, checkin: bool, full: bool
@@ -240,7 +242,8 @@
             boots = [kind.boot_s for kind in self.market.types.values()]
             if not boots or objective.within >= seconds(min(boots)):
                 continue
-            result.append(Expected(arrivals.spec, self._likely(arrivals, now, min(boots))))
+            tasks = self._likely(arrivals, now, min(boots))
+            result.append(Expected(arrivals.spec, tasks, frozenset(arrivals.images)))
         return result
 
     def _likely(self, arrivals: Arrivals, now: timedelta, boot_s: float) -> int:
--- a/micadeal/wire/state.py
+++ b/micadeal/wire/state.py
@@ -127,6 +127,8 @@
     address: str
     session: int
     tasks: list[PlacedTask]
+    #: Images that the machine is likely to hold, the last used first.
+    images: list[str] = []
 
 
 class BootingMachine(msgspec.Struct, array_like=True, frozen=True):
