--- a/micadeal/controller/plan.py
+++ b/micadeal/controller/plan.py
@@ -398,10 +398,13 @@
         self.present[room.zone] += 1
         self.plan.rentals[Offer(room.machine_type, room.zone, room.spot)] += 1
 
-    def _wish(self, spec: Submission, rule: ZoneRule) -> Room | None:
+    def _wish(self, spec: Submission, rule: ZoneRule, spare: bool = False) -> Room | None:
         if not self.may_rent or self.wishes >= MOST_WISHES:
             return None
         for offer, kind in self.market.choices(spec, self.now, self.present):
+            if spare and spec.spot_allowed and not offer.spot:
+                # Spare room for what may use spot is not worth an ordinary machine's price.
+                continue
             if rule.permits(offer.zone):
                 room = self._new_room(offer, kind)
                 self.rooms.append(room)
@@ -442,13 +445,16 @@
             # Room that holds more of the class's images is worth more: a fetch takes longer than
             # such a class may wait.
             open_rooms = [r for r in self.rooms if r.fits(work.spec)]
+            if any(r.up and r.bound_tasks for r in open_rooms) and not work.spec.spot_allowed:
+                # The rest of a machine that is kept anyway costs nothing.
+                open_rooms = [r for r in open_rooms if r.bound_tasks]
             most = max((len(r.images & work.images) for r in open_rooms if r.up), default=0)
             best = [r for r in open_rooms if r.up and len(r.images & work.images) == most]
             room = choose(work.spec, best, rule, False) or choose(
                 work.spec, open_rooms, rule, False
             )
             if room is None:
-                room = self._wish(work.spec, rule)
+                room = self._wish(work.spec, rule, spare=True)
             if room is None:
                 return
             room.book(work.spec)
--- a/micadeal/placement/rooms.py
+++ b/micadeal/placement/rooms.py
@@ -13,7 +13,7 @@
 from datetime import timedelta
 
 from micadeal.wire.cloud import MachineType
-from micadeal.wire.users import Submission
+from micadeal.wire.users import Shape, Submission
 
 #: Amounts are decimal fractions added up as floats.
 EPSILON = 1e-6
@@ -110,9 +110,13 @@
     image = 0 if spec.image in room.images else 1 if spec.image in room.fetching else 2
     kind = 0 if room.spot or not spec.spot_allowed else 1
     stage = 2 if room.wish else 0 if room.up else 1
+    # What runs until it is cancelled pays for the empty rest of its machine all the time: it
+    # shares one with its like before it looks for its image.
+    alone = 1 if spec.shape is Shape.SERVICE and not room.bound_tasks else 0
     return (
         stage,
         kind,
+        alone,
         image,
         zones[room.zone] if spec.spread else 0,
         0 if room.tasks else 1,
