--- a/micadeal/controller/cluster.py
+++ b/micadeal/controller/cluster.py
@@ -34,6 +34,10 @@
 GRACE_MARGIN = seconds(2)
 #: Images named in a machine's record.
 MOST_IMAGES = 20
+#: Images whose size is remembered; the least lately submitted one is forgotten.
+MOST_SIZES = 2000
+#: Names of machines that are gone.
+MOST_GONE = 20_000
 _STATES = {state.value: state for state in TaskState}
 
 
@@ -74,7 +78,10 @@
 
     def add_job(self, job: Job) -> None:
         self.jobs[job.id] = job
+        self.image_sizes.pop(job.spec.image, None)
         self.image_sizes[job.spec.image] = job.spec.image_gb
+        if len(self.image_sizes) > MOST_SIZES:
+            del self.image_sizes[next(iter(self.image_sizes))]
         self.changed = True
 
     def job_gone(self, job_id: str, now: timedelta) -> None:
@@ -431,6 +438,8 @@
     def machine_gone(self, name: str, now: timedelta) -> None:
         """The cloud has confirmed that the machine and everything on it are gone."""
         self.gone[name] = now
+        if len(self.gone) > MOST_GONE:
+            del self.gone[next(iter(self.gone))]
         machine = self.machines.get(name)
         if machine is None:
             return
--- a/micadeal/controller/scheduler.py
+++ b/micadeal/controller/scheduler.py
@@ -39,6 +39,7 @@
 COUNTING_TIME = seconds(4)
 #: How often the log gets a line on machines and tasks.
 LINE_EVERY = seconds(15)
+MOST_CLASSES = 100
 #: Times of arrivals kept per class.
 ARRIVALS = 40
 
@@ -90,7 +91,11 @@
         if job.id in self.cluster.jobs:
             return
         self.cluster.add_job(job)
-        arrivals = self._arrivals.setdefault(job.spec.job_class, Arrivals())
+        arrivals = self._arrivals.pop(job.spec.job_class, None) or Arrivals()
+        self._arrivals[job.spec.job_class] = arrivals
+        if len(self._arrivals) > MOST_CLASSES:
+            # Class names are the users' choice: the one that came least lately goes.
+            del self._arrivals[next(iter(self._arrivals))]
         arrivals.times.append(max(job.submitted, now - seconds(600)))
         arrivals.spec = job.spec
         arrivals.images.append(job.spec.image)
--- a/micadeal/jobs/desk.py
+++ b/micadeal/jobs/desk.py
@@ -27,7 +27,7 @@
 from micadeal.operator.platform import Team
 from micadeal.state.service import Conflict, StateError, StateService, Unavailable, Urgency
 from micadeal.wire.cloud import MachineType
-from micadeal.wire.codec import BadMessage, convert
+from micadeal.wire.codec import BadMessage, convert, encode
 from micadeal.wire.mesh import Counts
 from micadeal.wire.state import Condition, Drop, EndRecord, Item, JobRecord, Put
 from micadeal.wire.users import JobAnswer, Status, Submission
@@ -133,6 +133,8 @@
         if (known := self._final.get(job_id)) is not None:
             return answer(200, known)
         record = JobRecord(spec, wall().timestamp())
+        if len(encode(record)) > self._state.limits.value_bytes:
+            return error(400, "the job's description is too large")
         try:
             await self._state.commit(
                 [Condition(f"job/{job_id}", 0), Condition(f"end/{job_id}", 0)],
--- a/micadeal/state/service.py
+++ b/micadeal/state/service.py
@@ -33,6 +33,8 @@
 T = TypeVar("T")
 
 REQUEST_TIME = timedelta(seconds=2)
+#: How long a user's request may wait for room in our share of the rate limits.
+USER_PATIENCE = timedelta(milliseconds=300)
 PAGE = 500
 
 
@@ -121,7 +123,9 @@
         client: AnyClient | None = None,
         spare: timedelta = ZERO,
     ) -> tuple[int, bytes]:
-        await self._pay(changes, urgency, steady() + timeout)
+        # A user is told at once when to come back instead of being held.
+        patience = USER_PATIENCE if urgency is Urgency.USER else timeout
+        await self._pay(changes, urgency, steady() + patience)
         try:
             status, answer = await (client or self._client).request(
                 method, target, body, timeout=timeout + spare, repeatable=method == "GET"
