--- a/micadeal/controller/dispatcher.py
+++ b/micadeal/controller/dispatcher.py
@@ -197,7 +197,6 @@
             self._scheduler.set_catalog(types)
         self._recorder = Recorder(self._cluster, state.limits)
         self._loaded = False
-        self._over = False
         self._releasing = False
         self._renting: RentalRequest | None = None
         self._in_direct: set[str] = set()
@@ -215,7 +214,6 @@
                 await self._spawn(work)
             await super().run()
         finally:
-            self._over = True
             for task in list(self._tasks):
                 await task.cancel(blocking=False)
 
--- a/micadeal/controller/records.py
+++ b/micadeal/controller/records.py
@@ -78,16 +78,7 @@
         return batches
 
     def _end(self, job: Job) -> Changes:
-        spec = job.spec
-        end = EndRecord(
-            Status.DONE,
-            spec.tasks,
-            wall().timestamp(),
-            spec.team,
-            spec.cpus,
-            spec.gpus,
-            spec.memory_gb,
-        )
+        end = EndRecord.of(Status.DONE, job.spec, wall().timestamp())
         operations: list[Put | Drop] = [Put(f"end/{job.id}", end), Drop(f"job/{job.id}")]
         room = self._limits.operations - len(operations)
         for chunk in sorted(job.chunks)[:room]:
--- a/micadeal/http/message.py
+++ b/micadeal/http/message.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
-from urllib.parse import parse_qsl
 
 from micadeal.wire.codec import encode
 
@@ -25,16 +23,12 @@
     query: str = ""
     body: bytes = b""
 
-    def parameters(self) -> Mapping[str, str]:
-        return dict(parse_qsl(self.query))
-
 
 @dataclass(frozen=True, slots=True)
 class Answer:
     status: int
     body: bytes = b""
     retry_after: timedelta | None = None
-    headers: Mapping[str, str] = field(default_factory=dict)
 
 
 def answer(status: int, message: Any = None, retry_after: timedelta | None = None) -> Answer:
--- a/micadeal/jobs/desk.py
+++ b/micadeal/jobs/desk.py
@@ -159,15 +159,7 @@
     async def _write_cancel(self, job_id: str, item: Item) -> None:
         try:
             spec = convert(JobRecord, item.value).submission
-            end = EndRecord(
-                Status.CANCELLED,
-                spec.tasks,
-                wall().timestamp(),
-                spec.team,
-                spec.cpus,
-                spec.gpus,
-                spec.memory_gb,
-            )
+            end = EndRecord.of(Status.CANCELLED, spec, wall().timestamp())
         except BadMessage:
             end = EndRecord(Status.CANCELLED, 0, wall().timestamp())
         await self._state.commit(
--- a/micadeal/wire/codec.py
+++ b/micadeal/wire/codec.py
@@ -41,8 +41,3 @@
         return msgspec.convert(value, kind)
     except (msgspec.ValidationError, RecursionError) as error:
         raise BadMessage(str(error)) from None
-
-
-def builtins(message: Any) -> Any:
-    """The plain maps and lists of a message, to be embedded in another one."""
-    return msgspec.to_builtins(message)
--- a/micadeal/wire/state.py
+++ b/micadeal/wire/state.py
@@ -105,6 +105,10 @@
     gpus: float = 0.0
     memory_gb: float = 0.0
 
+    @classmethod
+    def of(cls, status: Status, spec: Submission, ended_at: float) -> EndRecord:
+        return cls(status, spec.tasks, ended_at, spec.team, spec.cpus, spec.gpus, spec.memory_gb)
+
 
 class FinishedRecord(msgspec.Struct):
     """Under ``done/<id>/<chunk>``: a base64 bitmap of the finished tasks of one chunk."""
@@ -131,20 +135,6 @@
     images: list[str] = []
 
 
-class BootingMachine(msgspec.Struct, array_like=True, frozen=True):
-    name: str
-    machine_type: str
-    zone: str
-    spot: bool
-    rented_at: float
-
-
-class BootingRecord(msgspec.Struct):
-    """Under ``booting``: rentals that the cloud's lagging list may not show yet."""
-
-    machines: list[BootingMachine]
-
-
 class SettingsRecord(msgspec.Struct, omit_defaults=True):
     """Under ``settings``: the operators' script and who may check what it evaluated to."""
 
--- a/micadeal/wire/users.py
+++ b/micadeal/wire/users.py
@@ -84,7 +84,3 @@
     status: Status
     done: int | None = None
     running: int | None = None
-
-
-class ErrorAnswer(msgspec.Struct):
-    error: str
--- a/tests/fakes/state.py
+++ b/tests/fakes/state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from typing import Any
-from urllib.parse import unquote
+from urllib.parse import parse_qsl, unquote
 
 import curio
 
@@ -73,7 +73,7 @@
         return answer(200, {"k": key, "data": data, "stamp": stamp, "permit": lease})
 
     def _range(self, request: Request) -> Answer:
-        parameters = request.parameters()
+        parameters = dict(parse_qsl(request.query))
         prefix, after = parameters["starts"], parameters.get("after", "")
         most = int(parameters.get("most", "200"))
         keys = [k for k in sorted(self.keys) if k.startswith(prefix) and k > after]
@@ -125,7 +125,7 @@
         return answer(200, {})
 
     async def _watch(self, request: Request) -> Answer:
-        parameters = request.parameters()
+        parameters = dict(parse_qsl(request.query))
         prefix, after = parameters["starts"], int(parameters["after"])
         until = steady().total_seconds() + int(parameters.get("hold_ms", "0")) / 1000
         while True:
