--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -382,3 +382,47 @@
             await world.until_done(job)
 
     World().play(monkeypatch, story)
+
+
+def test_a_gang_in_one_zone_does_not_begin_again_elsewhere_while_a_task_may_be_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards ``wrong_place``: a silent member still holds the gang's zone until its lease is over,
+    and the next attempt may be in another zone only then (watched by the world)."""
+
+    async def story(world: World) -> None:
+        world.cloud.capacity.update({("south", False): 0, ("west", False): 0})
+        gang = await world.run_job("gang", 2, run_s=60.0, one_zone=True, accelerators=2.0)
+        await world.until(lambda: world.running(gang) == 2)
+        worker, _ = world.held(gang)[0]
+        world.cloud.capacity.update({("north", False): 0, ("south", False): 4})
+        for number in range(3):
+            world.network.cut(worker.name, f"c{number}")
+        world.cloud.take(world.held(gang)[1][0].name)
+        await world.until_done(gang)
+        # The silent machine has been given back meanwhile.
+        assert {w.zone for w in world.fleet.workers.values()} == {"south"}
+
+    world = World().play(monkeypatch, story)
+    assert set(world.starts.values()) == {2}
+
+
+def test_controllers_restarted_one_after_the_other_lose_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def story(world: World) -> None:
+        service = await world.run_job("daemon", 2, scatter=True, rank="production")
+        jobs = [await world.run_job("array", 3, run_s=25.0, loaners=True) for _ in range(2)]
+        await world.until(lambda: world.running(service) == 2)
+        for number in range(3):
+            world.crash(number)
+            jobs.append(await world.run_job("array", 1, run_s=5.0))
+            await curio.sleep(5)
+            await world.start(number)
+            await curio.sleep(5)
+        for job in jobs:
+            await world.until_done(job)
+        assert world.running(service) == 2
+
+    world = World().play(monkeypatch, story)
+    assert all(count == 1 for count in world.starts.values())
