A greeting is repeated until the worker shows the new token

Found by a story: a record that names a session that is over has the first greeting refused; an earlier leader that had lost the state service alone then went on answering the worker. More stories of held writes, late ends and what reports prove.

--- a/micadeal/controller/scheduler.py
+++ b/micadeal/controller/scheduler.py
@@ -293,12 +293,14 @@
                 # Errors of several jobs on one machine point to the machine.
                 machine.leaving = "faulty"
                 self.cluster.changed = True
-            for attempt in machine.attempts.values():
-                if attempt.stop is not None:
-                    due = self._direct_again.get(machine.name, ZERO)
-                    if now >= due:
-                        self.cluster.direct.add(machine.name)
-                    break
+            # A greeting can be lost, or be refused since the worker has moved to another session:
+            # unless it is repeated, an earlier leader that lost the state service alone could go
+            # on answering the worker, and its tasks would be out of our reach.
+            ungreeted = bool(machine.attempts) and not machine.knows_us
+            stopping = any(a.stop is not None for a in machine.attempts.values())
+            due = now >= self._direct_again.get(machine.name, ZERO)
+            if (ungreeted or stopping) and due:
+                self.cluster.direct.add(machine.name)
         for name in self.cluster.direct:
             self._direct_again[name] = now + seconds(2)
 
--- a/tests/fakes/state.py
+++ b/tests/fakes/state.py
@@ -27,6 +27,8 @@
         self._txn_ops = txn_ops
         self._value_bytes = value_bytes
         self.largest_txn = 0
+        #: How long a transaction that records a cancellation is under way.
+        self.cancel_delay = 0.0
 
     async def run(self) -> None:
         """Ends leases; during an outage time stands still for them."""
@@ -82,6 +84,11 @@
 
     async def _txn(self, txn: dict[str, Any]) -> Answer:
         changes = txn["then"]
+        if self.cancel_delay and any(
+            c.get("put", "").startswith("end/") and c["data"]["status"] == "cancelled"
+            for c in changes
+        ):
+            await curio.sleep(self.cancel_delay)
         assert len(changes) <= self._txn_ops and len(txn["if"]) <= 4 * self._txn_ops
         self.largest_txn = max(self.largest_txn, len(changes))
         failed = [
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -234,8 +234,10 @@
 
     async def until_done(self, job_id: str, limit: float = 200) -> None:
         began = steady().total_seconds()
-        while await self.status(job_id, int(steady().total_seconds()) % 3) != "done":
+        number = 0
+        while await self.status(job_id, number % 3) != "done":
             assert steady().total_seconds() - began < limit, f"{job_id} is never done"
+            number += 1
             await curio.sleep(1)
 
     # -- rules -----------------------------------------------------------------------------
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -165,28 +165,29 @@
     its worker saw the new token."""
 
     async def story(world: World) -> None:
-        first = await world.run_job("array", 1, run_s=5.0, accelerators=2.0)
-        await world.until_done(first)
+        for _ in range(2):
+            await world.cloud.add("north", spot=False, up_in=0.5)
+        await curio.sleep(8)
         leader = world.leader()
         assert leader is not None
-        other = (leader + 1) % 3
-        worker = next(iter(world.fleet.workers.values()))
-        held = worker._report()
+        held = {name: worker._report() for name, worker in world.fleet.workers.items()}
         job = await world.run_job("array", 1, run_s=60.0, accelerators=2.0)
         await world.until(lambda: world.running(job) == 1)
+        worker, _ = world.held(job)[0]
         # The worker can't be asked by the next leader: nothing but the old report speaks for it.
-        world.network.cut(worker.name, f"c{other}")
-        world.network.cut(worker.name, f"c{(leader + 2) % 3}")
+        others = [(leader + 1) % 3, (leader + 2) % 3]
+        for other in others:
+            world.network.cut(worker.name, f"c{other}")
         world.crash(leader)
         await world.until(lambda: world.leader() not in (None, leader), limit=10)
         now = world.leader()
         assert now is not None
-        status, _ = await world.call(now, "POST", "/checkin", held)
+        status, _ = await world.call(now, "POST", "/checkin", held[worker.name])
         assert status == 200
         await curio.sleep(8)
         assert world.starts[f"{job}/0"] == 1
-        await world.network.heal(worker.name, f"c{other}")
-        await world.network.heal(worker.name, f"c{(leader + 2) % 3}")
+        for other in others:
+            await world.network.heal(worker.name, f"c{other}")
         await world.until_done(job)
 
     World().play(monkeypatch, story)
@@ -426,3 +427,50 @@
 
     world = World().play(monkeypatch, story)
     assert all(count == 1 for count in world.starts.values())
+
+
+def test_a_held_write_of_an_earlier_leader_changes_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards the records: a task ends while the leader's way to the state service holds packets,
+    so its write comes through when the job is long over."""
+
+    async def story(world: World) -> None:
+        job = await world.run_job("array", 3, run_s=12.0, image_gb=0.1)
+        long = await world.run_job("array", 1, run_s=40.0, image_gb=0.1)
+        await world.until(lambda: world.running(job) == 3 and world.running(long) == 1)
+        leader = world.leader()
+        assert leader is not None
+        await world.until(lambda: len(world.done) > 0)
+        world.network.cut(f"c{leader}", "state", "hold")
+        await world.until(lambda: world.leader() not in (None, leader), limit=10)
+        await world.until_done(job)
+        await world.until_done(long)
+        await world.network.heal(f"c{leader}", "state")
+        await curio.sleep(8)
+        left = [key for key in world.state.keys if key.startswith(("done/", "machine/"))]
+        assert left == []
+
+    World().play(monkeypatch, story)
+
+
+def test_a_greeting_that_was_refused_is_repeated(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a worker that stays with an earlier leader: the first greeting is refused,
+    since the record names a session that is over."""
+
+    async def story(world: World) -> None:
+        service = await world.run_job("daemon", 1, rank="production", image_gb=0.1)
+        await world.until(lambda: world.running(service) == 1)
+        worker, _ = world.held(service)[0]
+        leader = world.leader()
+        assert leader is not None
+        for key, (data, stamp, lease) in world.state.keys.items():
+            if key.startswith("machine/"):
+                world.state.keys[key] = ({**data, "session": 0}, stamp, lease)
+        world.network.cut(f"c{leader}", "state")
+        await world.until(lambda: world.leader() not in (None, leader), limit=10)
+        entry = world.state.keys["leader"]
+        await world.until(lambda: worker.token == entry[1], limit=6)
+        assert world.running(service) == 1
+
+    World().play(monkeypatch, story)
--- a/tests/test_users.py
+++ b/tests/test_users.py
@@ -158,3 +158,24 @@
         await world.until_done(second)
 
     World().play(monkeypatch, story)
+
+
+def test_a_cancellation_that_comes_after_the_end_is_told_done(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards ``went_back``: the job ends, and another user is told so, between the canceller's
+    read and its write."""
+
+    async def story(world: World) -> None:
+        job = await world.run_job("array", 1, run_s=6.0, image_gb=0.1)
+        await world.until(lambda: world.running(job) == 1)
+        await curio.sleep(5.0)
+        world.state.cancel_delay = 1.8
+        canceller = await curio.spawn(world.cancel, job, 1)
+        await world.until_done(job)
+        assert await canceller.join() in ("done", None)
+        world.state.cancel_delay = 0.0
+        assert await world.cancel(job, 2) == "done"
+        assert await world.status(job, 1) == "done"
+
+    World().play(monkeypatch, story)
