--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -436,16 +436,20 @@
     so its write comes through when the job is long over."""
 
     async def story(world: World) -> None:
-        job = await world.run_job("array", 3, run_s=12.0, image_gb=0.1)
-        long = await world.run_job("array", 1, run_s=40.0, image_gb=0.1)
-        await world.until(lambda: world.running(job) == 3 and world.running(long) == 1)
+        world.cloud.capacity.update(dict.fromkeys(world.cloud.capacity, 0))
+        for _ in range(2):
+            await world.cloud.add("north", spot=False, up_in=0.5)
+        job = await world.run_job("array", 3, run_s=12.0, image_gb=0.1, accelerators=2.0)
+        await world.until(lambda: world.running(job) == 2)
         leader = world.leader()
         assert leader is not None
-        await world.until(lambda: len(world.done) > 0)
+        await curio.sleep(11.2)
+        assert not world.done
         world.network.cut(f"c{leader}", "state", "hold")
+        await world.until(lambda: len(world.done) == 2, limit=2)
         await world.until(lambda: world.leader() not in (None, leader), limit=10)
         await world.until_done(job)
-        await world.until_done(long)
+        await curio.sleep(20)
         await world.network.heal(f"c{leader}", "state")
         await curio.sleep(8)
         left = [key for key in world.state.keys if key.startswith(("done/", "machine/"))]
