--- a/micadeal/controller/cluster.py
+++ b/micadeal/controller/cluster.py
@@ -48,6 +48,11 @@
     return job_id, int(index)
 
 
+def grace_to_save(job: Job) -> timedelta:
+    """What a task needs to save when it is stopped; zero if it can't save."""
+    return job.save_time + GRACE_MARGIN if job.can_save else ZERO
+
+
 class HigherToken(Exception):
     """A worker has seen the token of a later leader."""
 
@@ -155,7 +160,7 @@
 
     def stop_job(self, job: Job, now: timedelta, save: bool) -> None:
         """Stop all of a job's attempts in one go, with grace to save if wanted."""
-        grace = job.save_time + GRACE_MARGIN if save and job.can_save else ZERO
+        grace = grace_to_save(job) if save else ZERO
         for attempt in list(job.all_attempts()):
             self.stop(attempt, grace, now)
 
@@ -422,9 +427,14 @@
 
     # -- time ------------------------------------------------------------------------------
 
+    @property
+    def lease_over(self) -> timedelta:
+        """After a silence of this length a worker's lease has certainly run out."""
+        return self.workers.lease * (1 + 2 * DRIFT) + LEASE_MARGIN
+
     def expire(self, now: timedelta) -> None:
         """Machines silent for longer than their lease: nothing is on them any more."""
-        limit = self.workers.lease * (1 + 2 * DRIFT) + LEASE_MARGIN
+        limit = self.lease_over
         for machine in list(self.machines.values()):
             # Only a worker that has shown our token: another leader can't have answered it since.
             if machine.lost or machine.heard is None or not machine.knows_us:
--- a/micadeal/controller/plan.py
+++ b/micadeal/controller/plan.py
@@ -72,6 +72,11 @@
     images: frozenset[str] = frozenset()
 
 
+def booked(amounts: tuple[float, float], resource: str) -> float:
+    """One resource of a team's (cores, accelerators)."""
+    return amounts[1] if resource == "gpus" else amounts[0]
+
+
 def build_rooms(cluster: Cluster, now: timedelta) -> list[Room]:
     silence = cluster.workers.report * SILENT_REPORTS
     rooms: list[Room] = []
@@ -153,7 +158,7 @@
         self._virtual_rooms: dict[str, list[Room]] = {}
         self.wishes = 0
         self.total: dict[str, tuple[float, float]] = cluster.usage()
-        self.unplaced: list[tuple[Job, bool]] = []
+        self.unplaced: list[Job] = []
         self.spot_scarce = self._spot_scarce()
 
     def _spot_scarce(self) -> bool:
@@ -215,10 +220,9 @@
         return (rank, submitted, job_id)
 
     def _team_states(self, resource: str, jobs: list[Job]) -> dict[str, TeamState]:
-        place = RESOURCES.index(resource)
         states: dict[str, TeamState] = {}
         for name, team in self.cluster.teams.items():
-            used = self.total[name][1 - place]
+            used = booked(self.total[name], resource)
             states[name] = TeamState(
                 team.minimum(resource), self.policy.team(name).weight, used, used
             )
@@ -309,7 +313,7 @@
             room = self._wish(job.spec, rule)
         if room is None:
             job.reasons[self._no_room_reason(job)] += waiting
-            self.unplaced.append((job, False))
+            self.unplaced.append(job)
             return 0.0
         room.book(job.spec)
         self._book(job, room, None)
@@ -338,7 +342,7 @@
             job.reasons["a machine is being rented"] += 1
         else:
             job.reasons["a machine for it is still booting"] += 1
-        self.unplaced.append((job, True))
+        self.unplaced.append(job)
 
     def _gang(self, job: Job) -> float:
         """Book all tasks of a gang, or none."""
@@ -357,7 +361,7 @@
                 self._count_wish(room)
         if found is None:
             job.reasons[self._no_room_reason(job)] += spec.tasks
-            self.unplaced.append((job, False))
+            self.unplaced.append(job)
             return 0.0
         if all(room.up for room in found):
             number = self.cluster.next_number()
@@ -370,7 +374,7 @@
             self._virtual_rooms[job.id] = found
             self.plan.held.update(room.name for room in found if not room.wish)
             job.reasons["room for the whole gang is being gathered"] += spec.tasks
-            self.unplaced.append((job, True))
+            self.unplaced.append(job)
         return job.units * spec.tasks
 
     # -- renting ---------------------------------------------------------------------------
@@ -464,16 +468,18 @@
     # -- victims ---------------------------------------------------------------------------
 
     def _pick_victims(self) -> None:
-        needy = self._needy()
+        usage = self.cluster.usage()
+        needy = self._needy(usage)
         if not needy:
             return
         rooms, victims = self._victims()
-        usage = self.cluster.usage()
         for job, tasks, for_guarantee, resource in needy:
             states = self.plan.teams[resource]
             # What runs, not what is held for later: only that can be given back.
-            place = 1 - RESOURCES.index(resource)
-            surplus = {name: usage[name][place] - state.minimum for name, state in states.items()}
+            surplus = {
+                name: booked(usage[name], resource) - state.minimum
+                for name, state in states.items()
+            }
             rule = ZoneRule(job.spec, self.cluster.zones_of(job))
             for _ in range(tasks):
                 chosen = self._victims_for(job, rule, rooms, victims, for_guarantee, surplus)
@@ -484,7 +490,7 @@
                     for machine in {entry[0] for entry in victim.frees}:
                         victims[machine] = [v for v in victims[machine] if v is not victim]
 
-    def _needy(self) -> list[tuple[Job, int, bool, str]]:
+    def _needy(self, usage: dict[str, tuple[float, float]]) -> list[tuple[Job, int, bool, str]]:
         """Jobs for which something may be killed, how many tasks, and whether for a guarantee."""
         result: list[tuple[Job, int, bool, str]] = []
         lacking: dict[tuple[str, str], tuple[float, bool]] = {}
@@ -493,7 +499,7 @@
                 timer = self.timers.setdefault(
                     (name, resource), StarvationTimer(self.now, self.now)
                 )
-                used = self.cluster.usage()[name][1 - RESOURCES.index(resource)]
+                used = booked(usage[name], resource)
                 team = self.policy.team(name)
                 timer.update(self.now, used, state.demand, state.minimum, state.share)
                 lacking[name, resource] = timer.lacks(
@@ -506,7 +512,7 @@
                     self.policy.share_timeout,
                 )
         seen: set[str] = set()
-        for job, _ in self.unplaced:
+        for job in self.unplaced:
             if job.id in seen or (job.is_gang and job.spec.tasks > 1):
                 continue
             seen.add(job.id)
--- a/micadeal/controller/scheduler.py
+++ b/micadeal/controller/scheduler.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from micadeal.clock import DRIFT, ZERO, seconds
-from micadeal.controller.cluster import GRACE_MARGIN, LEASE_MARGIN, Cluster
+from micadeal.clock import ZERO, seconds
+from micadeal.controller.cluster import Cluster, grace_to_save
 from micadeal.controller.plan import Expected, Pass, Plan
 from micadeal.fleet.model import Machine
 from micadeal.fleet.offers import Market, Offer
@@ -221,9 +221,8 @@
             if victim.index is None:
                 self.cluster.stop_job(job, now, save=True)
                 continue
-            grace = job.save_time + GRACE_MARGIN if job.can_save else ZERO
             for attempt in list(job.attempts.get(victim.index, ())):
-                self.cluster.stop(attempt, grace, now)
+                self.cluster.stop(attempt, grace_to_save(job), now)
         if plan.rentals and self.rental is None:
             offer, count = plan.rentals.most_common(1)[0]
             self._rentals += 1
@@ -269,16 +268,15 @@
                 job = self.cluster.jobs[attempt.job_id]
                 if attempt.stop is not None or not job.can_save:
                     continue
-                grace = job.save_time + GRACE_MARGIN
                 if machine.notice_end - now < job.save_time:
                     continue
                 if job.is_gang:
                     self.cluster.stop_job(job, now, save=True)
                 else:
-                    self.cluster.stop(attempt, grace, now)
+                    self.cluster.stop(attempt, grace_to_save(job), now)
 
     def _look_after_machines(self, now: timedelta) -> None:
-        silence = self.cluster.workers.lease * (1 + 2 * DRIFT) + LEASE_MARGIN
+        silence = self.cluster.lease_over
         for machine in list(self.cluster.machines.values()):
             if machine.release_asked is not None:
                 continue
--- a/micadeal/fleet/model.py
+++ b/micadeal/fleet/model.py
@@ -74,7 +74,6 @@
     images: dict[str, timedelta] = field(default_factory=dict)
     #: What its record in the state service lists; None: no record.
     recorded: frozenset[PlacedTask] | None = None
-    writing: bool = False
     #: Gets no new work; returned when empty.
     leaving: str | None = None
     release_asked: timedelta | None = None
