--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,120 @@
+"""The command line against a controller's answers, over loopback."""
+
+from __future__ import annotations
+
+import json
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import curio
+import pytest
+from click.testing import CliRunner, Result
+
+from micadeal.cli.main import main
+from micadeal.http.message import Answer, Request, answer, error
+from micadeal.http.server import Server
+from micadeal.wire.codec import decode
+from micadeal.wire.mesh import MachineLine, Overview, StuckJob, TeamLine, WhyAnswer, WhyLine
+from micadeal.wire.users import JobAnswer, Status
+
+OVERVIEW = Overview(
+    "c1", 41, 65.0, False,
+    [TeamLine("red", "gpus", 3.0, 4.0, 8.0, 4.0, 6.0, 2, 1)],
+    {"running": 1, "waiting": 2},
+    [StuckJob("req-000007", "red", "train", 91.0, "no room, and the cloud refused")],
+    [MachineLine("box", "north", True, 2, 1, 0, 0, 3.0, 6.0)],
+    ["the cloud refused box (spot) in north lately"],
+)  # fmt: skip
+WHY = WhyAnswer(
+    "req-000007", "pending", "red", 1, 0, 0, 2, 91.0,
+    [WhyLine("no room, and the cloud refused", 2)],
+)  # fmt: skip
+
+
+class Controller:
+    def __init__(self) -> None:
+        self.settings: dict[str, Any] = {"script": ""}
+        server = Server(("127.0.0.1", 0), self.handle, most=20)
+        host, port = server.listen()
+        self.address = f"{host}:{port}"
+        threading.Thread(target=curio.run, args=(server.run,), daemon=True).start()
+
+    async def handle(self, request: Request) -> Answer:
+        match request.method, request.path:
+            case "POST", "/work":
+                if "crew" not in decode(dict, request.body):
+                    return error(400, "crew is missing")
+                return answer(201, JobAnswer("req-000007", Status.PENDING))
+            case "GET", "/work/req-000007":
+                return answer(200, JobAnswer("req-000007", Status.RUNNING, 1, 2))
+            case "POST", "/work/req-000007/abort":
+                return answer(200, JobAnswer("req-000007", Status.CANCELLED))
+            case "GET", "/why/req-000007":
+                return answer(200, WHY)
+            case "GET", "/overview":
+                return answer(200, OVERVIEW)
+            case "GET", "/settings":
+                return answer(200, self.settings)
+            case "POST", "/settings":
+                self.settings = decode(dict, request.body)
+                return answer(200, self.settings)
+        return error(404, "no such job")
+
+
+@pytest.fixture(scope="module")
+def controller() -> Iterator[Controller]:
+    yield Controller()
+
+
+def run(controller: Controller, *arguments: str) -> Result:
+    return CliRunner().invoke(main, [*arguments, "-c", controller.address])
+
+
+def test_users_submit_look_and_cancel(controller: Controller, tmp_path: Path) -> None:
+    job = tmp_path / "job.toml"
+    job.write_text('name_id = "req-000007"\ncrew = "red"\n')
+    assert run(controller, "submit", str(job)).output == "req-000007: pending\n"
+    assert "running, 1 tasks done, 2 running" in run(controller, "status", "req-000007").output
+    said = run(controller, "status", "req-000007", "--json")
+    assert json.loads(said.output)["status"] == "running"
+    assert run(controller, "cancel", "req-000007").output == "req-000007: cancelled\n"
+
+
+def test_failures_exit_1_and_misuse_2(controller: Controller, tmp_path: Path) -> None:
+    missing = run(controller, "status", "req-000008")
+    assert (missing.exit_code, missing.output) == (1, "micadeal: no such job (status 404)\n")
+    bad = tmp_path / "job.toml"
+    bad.write_text("name_id = 1\n")
+    assert run(controller, "submit", str(bad)).exit_code == 1
+    bad.write_text("name_id = = 1\n")
+    assert run(controller, "submit", str(bad)).exit_code == 2
+    assert run(controller, "submit").exit_code == 2
+    assert CliRunner().invoke(main, ["overview", "-c", "nowhere"]).exit_code == 2
+    assert CliRunner().invoke(main, ["fly"]).exit_code == 2
+
+
+def test_operators_see_why_and_the_morning_status(controller: Controller) -> None:
+    why = run(controller, "why", "req-000007").output
+    assert "2 waiting" in why and "- 2 tasks: no room, and the cloud refused" in why
+    shown = run(controller, "overview").output
+    assert "leader c1 for 65 s" in shown and "WITHOUT TOUCH" in shown
+    assert "red (gpus)" in shown and "req-000007" in shown and "box spot north" in shown
+    assert json.loads(run(controller, "overview", "--json").output)["token"] == 41
+
+
+def test_settings_are_checked_before_they_are_applied(
+    controller: Controller, tmp_path: Path
+) -> None:
+    assert "defaults are in force" in run(controller, "settings", "show").output
+    script = tmp_path / "policy.star"
+    script.write_text("refresh_s = 0\n")
+    refused = run(controller, "settings", "apply", str(script))
+    assert refused.exit_code == 2 and f"{script}:1: refresh_s" in refused.output
+    assert controller.settings == {"script": ""}
+    script.write_text('teams = {"red": {"weight": 2}}\n')
+    assert CliRunner().invoke(main, ["settings", "check", str(script)]).exit_code == 0
+    assert run(controller, "settings", "apply", str(script)).output == "applied\n"
+    assert controller.settings["values"] == {"teams": {"red": {"weight": 2}}}
+    assert run(controller, "settings", "show").output == script.read_text()
