--- a/micadeal/controller/cluster.py
+++ b/micadeal/controller/cluster.py
@@ -19,7 +19,7 @@
 from micadeal.jobs.model import CHUNK, Job
 from micadeal.operator.platform import Team, Workers
 from micadeal.wire.cloud import MachineType
-from micadeal.wire.state import EndRecord, MachineRecord, PlacedTask
+from micadeal.wire.state import EndRecord, ImagesRecord, PlacedRecord
 from micadeal.wire.users import Priority, Shape, Submission
 from micadeal.wire.workers import Order, Report, TaskReport, TaskState, Verb
 
@@ -32,8 +32,6 @@
 LEASE_MARGIN = seconds(1.5)
 #: What the worker gets beyond the time a task needs to save.
 GRACE_MARGIN = seconds(2)
-#: Images named in a machine's record.
-MOST_IMAGES = 20
 #: Images whose size is remembered; the least lately submitted one is forgotten.
 MOST_SIZES = 2000
 #: Names of machines that are gone.
@@ -67,8 +65,14 @@
     image_sizes: dict[str, float] = field(default_factory=dict)
     jobs: dict[str, Job] = field(default_factory=dict)
     machines: dict[str, Machine] = field(default_factory=dict)
-    #: Jobs whose finished set, and machines whose record, must be written.
+    #: Jobs whose finished set must be written.
     finished_dirty: set[str] = field(default_factory=set)
+    #: Attempts that no record in the state service names yet, in the order of their placing.
+    unwritten: dict[Attempt, None] = field(default_factory=dict)
+    #: Records of placements in the state service: what of each is still in the picture.
+    records: dict[str, set[Attempt]] = field(default_factory=dict)
+    #: Records that name something that is gone, and since when.
+    shrunk: dict[str, timedelta] = field(default_factory=dict)
     #: Machines that should hear of a stop at once.
     direct: set[str] = field(default_factory=set)
     #: Something changed that a pass could make use of.
@@ -130,15 +134,25 @@
     def _adopt(self, job: Job, machine: Machine, attempt: Attempt) -> None:
         machine.attempts[attempt.key] = attempt
         machine.idle_since = None
+        machine.shape = None
         job.add(attempt)
+        if attempt.record is None:
+            self.unwritten[attempt] = None
+        else:
+            self.records[attempt.record].add(attempt)
 
     def release(self, attempt: Attempt, now: timedelta) -> None:
         """The attempt is certainly not on its machine, nor can it still come to be."""
         machine = self.machines.get(attempt.machine)
         if machine is not None:
             machine.attempts.pop(attempt.key, None)
+            machine.shape = None
             if not machine.attempts:
                 machine.idle_since = now
+        self.unwritten.pop(attempt, None)
+        if attempt.record is not None:
+            self.records[attempt.record].discard(attempt)
+            self.shrunk.setdefault(attempt.record, now)
         job = self.jobs.get(attempt.job_id)
         if job is not None:
             job.remove(attempt)
@@ -169,21 +183,37 @@
 
     # -- loading what an earlier leader left ----------------------------------------------
 
-    def load_machine(self, name: str, record: MachineRecord, now: timedelta) -> None:
-        machine = self.machines.get(name) or Machine(
-            name, record.address, record.machine_type, record.zone, record.spot, now, now
-        )
-        self.machines[name] = machine
-        machine.session = record.session
-        machine.recorded = frozenset(record.tasks)
-        for age, image in enumerate(record.images):
-            machine.images[image] = now - seconds(age)
-        for placed in record.tasks:
-            job = self._job_or_ghost(placed.job_id)
-            attempt = Attempt(placed.job_id, placed.index, placed.attempt, name, now, durable=True)
-            self._adopt(job, machine, attempt)
-            if job.over:
-                self.stop(attempt, ZERO, now)
+    def load_placed(self, key: str, record: PlacedRecord, now: timedelta) -> None:
+        """Take over a record of placements: all that it names may be on machines."""
+        self.records.setdefault(key, set())
+        for entry in record.machines:
+            machine = self.machines.get(entry.name)
+            if machine is None:
+                machine = self.machines[entry.name] = Machine(
+                    entry.name, entry.address, entry.machine_type, entry.zone, entry.spot, now, now
+                )
+            # Records are immutable, so that of a later session is the later one.
+            if entry.session >= machine.session:
+                machine.session, machine.address = entry.session, entry.address
+            for placed in entry.tasks:
+                job = self._job_or_ghost(placed.job_id)
+                attempt = Attempt(
+                    placed.job_id, placed.index, placed.attempt, entry.name, now, record=key
+                )
+                if attempt.key in machine.attempts:
+                    self.shrunk.setdefault(key, now)
+                    continue
+                self._adopt(job, machine, attempt)
+                if job.over:
+                    self.stop(attempt, ZERO, now)
+
+    def load_images(self, record: ImagesRecord, now: timedelta) -> None:
+        for name, images in record.machines.items():
+            machine = self.machines.get(name)
+            if machine is not None:
+                for age, image in enumerate(images):
+                    machine.images.setdefault(image, now - seconds(age + 1))
+                machine.shape = None
 
     def load_ended(self, job_id: str, end: EndRecord) -> None:
         """A job that is over and may have tasks on machines: they count for its team still."""
@@ -319,6 +349,7 @@
                     (now - self.jobs[key[0]].submitted).total_seconds(),
                     (now - attempt.placed).total_seconds(),
                 )
+                machine.shape = None
             attempt.state = state
         job = self.jobs[key[0]]
         if not job.over:
@@ -468,28 +499,28 @@
 
     # -- records ---------------------------------------------------------------------------
 
-    def record(self, machine: Machine) -> MachineRecord:
-        return MachineRecord(
-            machine.machine_type,
-            machine.zone,
-            machine.spot,
-            machine.address,
-            machine.session,
-            sorted(
-                machine.wanted_record(), key=lambda task: (task.job_id, task.index, task.attempt)
-            ),
-            sorted(machine.images, key=lambda name: machine.images[name], reverse=True)[
-                :MOST_IMAGES
-            ],
-        )
-
-    def recorded(self, machine: Machine, tasks: Iterable[PlacedTask]) -> None:
-        """The state service holds this record of the machine now."""
-        written = frozenset(tasks)
-        machine.recorded = written or None
-        for attempt in machine.attempts.values():
-            if attempt.placed_task in written:
-                attempt.durable = True
+    def written(self, key: str, attempts: Iterable[Attempt], now: timedelta) -> None:
+        """The state service holds a record under ``key`` that names these attempts."""
+        entries = self.records.setdefault(key, set())
+        for attempt in attempts:
+            machine = self.machines.get(attempt.machine)
+            if machine is None or machine.attempts.get(attempt.key) is not attempt:
+                # Released while the record was being written.
+                self.shrunk.setdefault(key, now)
+                continue
+            if attempt.record is not None and attempt.record != key:
+                self.records[attempt.record].discard(attempt)
+                self.shrunk.setdefault(attempt.record, now)
+            attempt.record = key
+            entries.add(attempt)
+            self.unwritten.pop(attempt, None)
+
+    def record_gone(self, key: str) -> None:
+        """The state service holds no such record (any more): what it named must be written anew."""
+        self.shrunk.pop(key, None)
+        for attempt in self.records.pop(key, ()):
+            attempt.record = None
+            self.unwritten[attempt] = None
 
     def chunks_to_write(self, job: Job) -> set[int]:
         return {index // CHUNK for index in job.finished - job.durable}
--- a/micadeal/controller/dispatcher.py
+++ b/micadeal/controller/dispatcher.py
@@ -11,9 +11,9 @@
 import curio
 
 from micadeal.actor import Actor, Overloaded
-from micadeal.clock import seconds, sleep, steady, wall
+from micadeal.clock import ZERO, seconds, sleep, steady, wall
 from micadeal.controller.cluster import Cluster, HigherToken
-from micadeal.controller.records import Changes, Recorder
+from micadeal.controller.records import IMAGES, PLACED, Changes, Recorder
 from micadeal.controller.scheduler import Scheduler
 from micadeal.fleet.cloud import LIST_EVERY, Cloud, CloudError, NoCapacity
 from micadeal.fleet.offers import Market
@@ -33,9 +33,11 @@
     EndRecord,
     Event,
     FinishedRecord,
+    ImagesRecord,
     Item,
     JobRecord,
     MachineRecord,
+    PlacedRecord,
     SettingsRecord,
 )
 from micadeal.wire.workers import DirectOrders, Orders, Report
@@ -43,11 +45,17 @@
 log = logging.getLogger(__name__)
 
 TICK = timedelta(milliseconds=250)
+#: Changes that come within this time share a pass.
+PASS_EVERY = timedelta(milliseconds=100)
 WATCH_HOLD = timedelta(seconds=2)
 DIRECT_TIME = seconds(3)
+#: Direct commands under way at once.
+MOST_DIRECT = 24
 CATALOG_EVERY = seconds(60)
 JOBS = "job/"
 SETTINGS = "settings"
+#: Placements in the layout of earlier versions: read, and replaced as they change.
+OLD_PLACED = "machine/"
 
 
 # -- messages --------------------------------------------------------------------------------
@@ -80,7 +88,8 @@
     """All that the state service held when the term began."""
 
     jobs: list[Item]
-    machines: list[Item]
+    placed: list[Item]
+    images: list[Item]
     finished: list[Item]
     ended: dict[str, EndRecord]
     settings: Item | None
@@ -137,8 +146,8 @@
     changes: Changes
     #: The revision; None: the outcome is unknown.
     revision: int | None
-    #: Versions read after an unknown or failed outcome.
-    versions: dict[str, int] | None
+    #: What the service holds, read after an unknown or failed outcome.
+    found: dict[str, Item | None] | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,9 +205,10 @@
         if types:
             self._scheduler.set_catalog(types)
         self._recorder = Recorder(self._cluster, state.limits)
+        self._pass_due = ZERO
         self._loaded = False
         self._releasing = False
-        self._renting: RentalRequest | None = None
+        self._renting: set[str] = set()
         self._in_direct: set[str] = set()
         self._tasks: set[Any] = set()
 
@@ -240,8 +250,15 @@
     async def receive(self, message: Any) -> Any:
         result = self._take(message)
         if self._loaded and self._power() is Power.FULL:
-            if isinstance(message, Tick) or (self._cluster.changed and self._mail.empty()):
-                self._scheduler.step(steady())
+            now = steady()
+            if isinstance(message, Tick):
+                self._scheduler.tick(now)
+            if now >= self._pass_due and self._mail.empty() and self._scheduler.wants_pass(now):
+                self._scheduler.run_pass(now)
+                # Passes take a share of the processor at most, however long one takes: reports
+                # must be answered meanwhile, or leases run out.
+                spent = steady() - now
+                self._pass_due = now + max(PASS_EVERY, spent * 4)
             await self._act()
         elif self._loaded:
             await self._send_stops()
@@ -277,7 +294,7 @@
             case ListRead(machines):
                 scheduler.on_list(machines, now)
             case RentalAnswer(request, names):
-                self._renting = None
+                self._renting.discard(request.request)
                 if names is None:
                     scheduler.rental_refused(request, now)
                 else:
@@ -334,12 +351,16 @@
 
     async def _send_stops(self) -> None:
         """Stops go straight to the workers: they may be executed late without harm."""
+        if not self._cluster.direct or len(self._in_direct) >= MOST_DIRECT:
+            return
         for name in list(self._cluster.direct):
+            if len(self._in_direct) >= MOST_DIRECT:
+                break
             machine = self._cluster.machines.get(name)
             if machine is None or not machine.address:
                 self._cluster.direct.discard(name)
                 continue
-            if name in self._in_direct or len(self._in_direct) >= 24:
+            if name in self._in_direct:
                 continue
             self._cluster.direct.discard(name)
             self._in_direct.add(name)
@@ -364,9 +385,10 @@
         await self._send_stops()
         for changes in self._recorder.next(steady()):
             await self._spawn(self._write, changes)
-        if scheduler.rental is not None and self._renting is None:
-            self._renting = scheduler.rental
-            await self._spawn(self._rent, scheduler.rental)
+        for request in list(scheduler.rentals.values()):
+            if request.request not in self._renting:
+                self._renting.add(request.request)
+                await self._spawn(self._rent, request)
         if scheduler.releases and not self._releasing:
             self._releasing = True
             await self._spawn(self._release, sorted(scheduler.releases)[:100])
@@ -376,31 +398,30 @@
         last known of its key, so that a batch applied late can't undo a newer one."""
         conditions = [Condition("leader", self.token), *changes.conditions]
         revision: int | None = None
-        versions: dict[str, int] | None = None
+        found: dict[str, Item | None] | None = None
         try:
             revision = await self._state.commit(
                 conditions, changes.operations, changes.urgency, timeout=seconds(3)
             )
         except Conflict:
-            versions = await self._read_versions(changes)
+            found = await self._read_back(changes)
         except StateError as problem:
             log.debug("a write failed: %s", problem)
             await sleep(seconds(0.2))
-            versions = await self._read_versions(changes)
-        await self.tell(Written(changes, revision, versions))
+            found = await self._read_back(changes)
+        await self.tell(Written(changes, revision, found))
 
-    async def _read_versions(self, changes: Changes) -> dict[str, int]:
+    async def _read_back(self, changes: Changes) -> dict[str, Item | None]:
         """After a failed or unknown outcome: what the service holds now."""
         while True:
             try:
                 leader = await self._state.get("leader", Urgency.LEASE)
                 if leader is None or leader.version != self.token:
                     self._resign()
-                found: dict[str, int] = {}
-                for condition in changes.conditions:
-                    item = await self._state.get(condition.key, Urgency.PLACEMENT)
-                    found[condition.key] = item.version if item else 0
-                return found
+                return {
+                    condition.key: await self._state.get(condition.key, Urgency.PLACEMENT)
+                    for condition in changes.conditions
+                }
             except StateError:
                 await sleep(seconds(0.3))
 
@@ -408,7 +429,7 @@
         if message.revision is not None:
             self._recorder.committed(message.changes, message.revision, steady())
         else:
-            self._recorder.failed(message.changes, message.versions or {}, steady())
+            self._recorder.failed(message.changes, message.found or {}, steady())
 
     async def _rent(self, request: RentalRequest) -> None:
         """Ask until there is a definite answer: the same name never rents twice."""
@@ -466,31 +487,37 @@
             try:
                 asked = steady()
                 jobs, revision = await self._state.range(JOBS, Urgency.LEASE)
-                machines, _ = await self._state.range("machine/", Urgency.LEASE)
+                placed, _ = await self._state.range(PLACED, Urgency.LEASE)
+                placed += (await self._state.range(OLD_PLACED, Urgency.LEASE))[0]
+                images, _ = await self._state.range(IMAGES, Urgency.LEASE)
                 finished, _ = await self._state.range("done/", Urgency.LEASE)
                 settings = await self._state.get(SETTINGS, Urgency.LEASE)
-                ended = await self._ended(jobs, machines)
+                ended = await self._ended(jobs, placed)
                 break
             except StateError as problem:
                 log.info("loading: %s", problem)
                 await sleep(seconds(0.3))
-        await self.tell(Loaded(jobs, machines, finished, ended, settings))
+        await self.tell(Loaded(jobs, placed, images, finished, ended, settings))
         await self.tell(JobEvents([], asked))
         await self._spawn(self._follow_settings, revision)
         await self._follow_jobs(revision)
 
-    async def _ended(self, jobs: list[Item], machines: list[Item]) -> dict[str, EndRecord]:
+    async def _ended(self, jobs: list[Item], placed: list[Item]) -> dict[str, EndRecord]:
         """End records of jobs that are over but may have tasks on machines: these count still."""
         alive = {item.key[len(JOBS) :] for item in jobs}
         over: set[str] = set()
-        for item in machines:
-            record = convert(MachineRecord, item.value)
-            over |= {task.job_id for task in record.tasks if task.job_id not in alive}
+        for item in placed:
+            record = _placed(item)
+            for entry in record.machines if record else ():
+                over |= {task.job_id for task in entry.tasks if task.job_id not in alive}
         ended: dict[str, EndRecord] = {}
         for job_id in sorted(over):
-            item_ = await self._state.get(f"end/{job_id}", Urgency.LEASE)
-            if item_ is not None:
-                ended[job_id] = convert(EndRecord, item_.value)
+            end = await self._state.get(f"end/{job_id}", Urgency.LEASE)
+            if end is not None:
+                try:
+                    ended[job_id] = convert(EndRecord, end.value)
+                except BadMessage as problem:
+                    log.error("unreadable record %s: %s", end.key, problem)
         return ended
 
     async def _follow_jobs(self, revision: int) -> None:
@@ -541,10 +568,13 @@
             self._load_finished(item)
         for job_id, end in loaded.ended.items():
             self._cluster.load_ended(job_id, end)
-        for item in loaded.machines:
-            name = item.key.removeprefix("machine/")
-            self._recorder.versions[item.key] = item.version
-            self._cluster.load_machine(name, convert(MachineRecord, item.value), now)
+        for item in loaded.placed:
+            record = _placed(item)
+            if record is not None:
+                self._recorder.versions[item.key] = item.version
+                self._cluster.load_placed(item.key, record, now)
+        for item in loaded.images:
+            self._load_images(item, now)
         for job in list(self._cluster.live_jobs()):
             if job.complete:
                 self._cluster.finished_dirty.add(job.id)
@@ -553,7 +583,11 @@
         # leader may still say, and show what they have.
         self._cluster.direct |= set(self._cluster.machines)
         self._loaded = True
-        log.info("took over %d jobs and %d machines", len(self._cluster.jobs), len(loaded.machines))
+        log.info(
+            "took over %d jobs and %d machines",
+            len(self._cluster.jobs),
+            len(self._cluster.machines),
+        )
 
     def _load_job(self, item: Item, now: timedelta) -> None:
         try:
@@ -571,7 +605,21 @@
         if job is None or not chunk.isdigit():
             self._recorder.drop(item.key)
             return
-        job.load_chunk(int(chunk), convert(FinishedRecord, item.value).bits)
+        try:
+            job.load_chunk(int(chunk), convert(FinishedRecord, item.value).bits)
+        except ValueError as problem:
+            # Its tasks run once more: a worker that has a result kept gives it at once.
+            log.error("unreadable record %s: %s", item.key, problem)
+
+    def _load_images(self, item: Item, now: timedelta) -> None:
+        self._recorder.versions[item.key] = item.version
+        try:
+            record = convert(ImagesRecord, item.value)
+        except BadMessage as problem:
+            log.error("unreadable record %s: %s", item.key, problem)
+            return
+        self._cluster.load_images(record, now)
+        self._recorder.load_images(item.key, record, now)
 
     def _job_event(self, event: Event, now: timedelta) -> None:
         if event.drop is not None:
@@ -604,3 +652,15 @@
             self._scheduler.policy = policy_from_values(record.values)
         except ValueError as problem:
             log.error("the stored settings are refused: %s", problem)
+
+
+def _placed(item: Item) -> PlacedRecord | None:
+    """A record of placements in either layout; None if it can't be read."""
+    try:
+        if item.key.startswith(OLD_PLACED):
+            name = item.key.removeprefix(OLD_PLACED)
+            return convert(MachineRecord, item.value).placed(name)
+        return convert(PlacedRecord, item.value)
+    except BadMessage as problem:
+        log.error("unreadable record %s: %s", item.key, problem)
+        return None
--- a/micadeal/controller/plan.py
+++ b/micadeal/controller/plan.py
@@ -5,23 +5,26 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 from micadeal.controller.cluster import Cluster
-from micadeal.fleet.model import Attempt, Machine
+from micadeal.fleet.model import Attempt, Machine, MachineShape
 from micadeal.fleet.offers import Market, Offer
 from micadeal.jobs.model import Job
 from micadeal.operator.policy import Policy
 from micadeal.placement.rooms import (
     EPSILON,
+    Picker,
     Room,
     ZoneRule,
     allowed,
     choose,
     choose_gang,
+    worth_it,
 )
 from micadeal.sharing.order import RANK, team_key
 from micadeal.sharing.shares import Claim, fair_shares
@@ -33,7 +36,9 @@
 
 RESOURCES = ("gpus", "cpus")
 #: New machines wished for in one pass, however much waits.
-MOST_WISHES = 40
+MOST_WISHES = 200
+#: Tasks for which victims are chosen in one pass; the next pass goes on.
+MOST_KILLED_FOR = 24
 #: A machine that has not been heard of for so many report intervals gets no new work.
 SILENT_REPORTS = 2.6
 
@@ -77,7 +82,8 @@
     return amounts[1] if resource == "gpus" else amounts[0]
 
 
-def build_rooms(cluster: Cluster, now: timedelta) -> list[Room]:
+def build_rooms(cluster: Cluster, now: timedelta, pending: Counter[Offer]) -> list[Room]:
+    """Rooms of machines that are up or booting, and of those asked for but not answered yet."""
     silence = cluster.workers.report * SILENT_REPORTS
     rooms: list[Room] = []
     for machine in cluster.machines.values():
@@ -87,35 +93,81 @@
         usable = machine.usable(now, silence)
         if not usable and machine.up and machine.knows_us:
             continue
-        rooms.append(_room(cluster, machine, kind, usable, now))
+        rooms.append(_room(cluster, machine, kind, usable, len(rooms)))
+    for offer, count in pending.items():
+        kind = cluster.types.get(offer.machine_type)
+        if kind is not None:
+            for number in range(count):
+                name = f"asked for {offer.zone} {offer.spot} {number}"
+                rooms.append(_empty_room(name, offer, kind, now, len(rooms), wish=False))
     return rooms
 
 
-def _room(
-    cluster: Cluster, machine: Machine, kind: MachineType, usable: bool, now: timedelta
+def _empty_room(
+    name: str, offer: Offer, kind: MachineType, now: timedelta, order: int, wish: bool
 ) -> Room:
-    room = Room(
+    return Room(
+        name,
+        offer.machine_type,
+        offer.zone,
+        offer.spot,
+        kind.cpus,
+        kind.gpus,
+        kind.memory_gb,
+        up=False,
+        wish=wish,
+        since=now,
+        order=order,
+    )
+
+
+def _room(cluster: Cluster, machine: Machine, kind: MachineType, usable: bool, order: int) -> Room:
+    shape = machine.shape
+    if shape is None:
+        # Derived anew only when something on the machine has changed (``Cluster`` clears it).
+        shape = machine.shape = _shape(cluster, machine, kind)
+    return Room(
         machine.name,
         machine.machine_type,
         machine.zone,
         machine.spot,
-        kind.cpus,
-        kind.gpus,
-        kind.memory_gb,
-        up=usable,
-        since=machine.rented,
+        shape.cpus,
+        shape.gpus,
+        shape.memory_gb,
+        usable,
+        False,
+        shape.images,
+        shape.fetching,
+        shape.tasks,
+        shape.bound_tasks,
+        0,
+        machine.rented,
+        order,
     )
-    cached = set(machine.images)
+
+
+def _shape(cluster: Cluster, machine: Machine, kind: MachineType) -> MachineShape:
+    cpus, gpus, memory = kind.cpus, kind.gpus, kind.memory_gb
+    bound = 0
     fetching: set[str] = set()
     for attempt in machine.attempts.values():
         spec = cluster.jobs[attempt.job_id].spec
-        room.book(spec)
-        if attempt.running_since is None and spec.image in cached:
+        cpus -= spec.cpus
+        gpus -= spec.gpus
+        memory -= spec.memory_gb
+        if not spec.spot_allowed:
+            bound += 1
+        if attempt.running_since is None and spec.image in machine.images:
             fetching.add(spec.image)
-    room.booked = 0
-    room.images = frozenset(_in_cache(cluster, machine, kind) - fetching)
-    room.fetching = frozenset(fetching)
-    return room
+    return MachineShape(
+        cpus,
+        gpus,
+        memory,
+        len(machine.attempts),
+        bound,
+        frozenset(_in_cache(cluster, machine, kind) - fetching),
+        frozenset(fetching),
+    )
 
 
 def _in_cache(cluster: Cluster, machine: Machine, kind: MachineType) -> set[str]:
@@ -130,6 +182,20 @@
     return kept
 
 
+def _left(room: Room, resource: str) -> float:
+    return room.gpus if resource == "gpus" else room.cpus
+
+
+def _order(room: Room) -> int:
+    return room.order
+
+
+def _size(spec: Submission) -> tuple[object, ...]:
+    """What decides into which rooms a task may go, but for the other tasks of its job."""
+    types = None if spec.machine_types is None else tuple(spec.machine_types)
+    return (spec.cpus, spec.gpus, spec.memory_gb, spec.zone, spec.spot_allowed, types)
+
+
 class Pass:
     """The state of one pass."""
 
@@ -143,6 +209,7 @@
         now: timedelta,
         *,
         may_rent: bool,
+        pending: Counter[Offer],
     ) -> None:
         self.cluster = cluster
         self.market = market
@@ -152,10 +219,28 @@
         self.now = now
         self.may_rent = may_rent
         self.plan = Plan()
-        self.rooms = build_rooms(cluster, now)
+        self.pending = pending
+        self.rooms = build_rooms(cluster, now, pending)
         self.present = Counter(room.zone for room in self.rooms)
+        self.held = Counter(
+            Offer(machine.machine_type, machine.zone, machine.spot)
+            for machine in cluster.machines.values()
+        )
+        #: Rooms with something left of the resource that is being handed out.
+        self.open: list[Room] = []
+        #: For jobs that are being asked: what they choose from.
+        self._pickers: dict[str, Picker] = {}
+        self._resource = RESOURCES[0]
+        self._filled_up = 0
+        #: For sizes of tasks: the first room, in the order of the pass, that may have something
+        #: for them, as long as no more ordinary machines are shared than then.
+        self._nothing: dict[tuple[object, ...], tuple[int, int]] = {}
+        #: Counts what may open ordinary machines to batch: see ``ZoneRule`` and ``choose``.
+        self._shared = 0
+        self._rules: dict[str, ZoneRule] = {}
         self.virtual: Counter[str] = Counter()
-        self._virtual_rooms: dict[str, list[Room]] = {}
+        #: Rooms looked at one by one, over the whole pass.
+        self.looked_at = 0
         self.wishes = 0
         self.total: dict[str, tuple[float, float]] = cluster.usage()
         self.unplaced: list[Job] = []
@@ -176,6 +261,9 @@
         for resource in RESOURCES:
             jobs = [job for job in runnable if job.resource == resource]
             states = self._team_states(resource, jobs)
+            self._resource = resource
+            self._open_again(self.rooms)
+            self._nothing.clear()
             # Production first: it is not to wait behind what may be stopped for it.  Within each
             # round the order is the source's.
             for production in (True, False):
@@ -273,6 +361,7 @@
             if not units or not self._waiting(job):
                 # The job passes (source, 4.2): the next one of the team is asked.
                 queues[name].pop()
+                self._pickers.pop(job.id, None)
                 if not queues[name]:
                     del queues[name]
 
@@ -293,8 +382,44 @@
     def _open_rooms(self, job: Job) -> list[Room]:
         """Rooms for this job: not where it failed, as long as there are others."""
         if not job.errors:
-            return self.rooms
-        return [room for room in self.rooms if room.name not in job.errors] or self.rooms
+            return self.open
+        return [room for room in self.open if room.name not in job.errors] or self.open
+
+    def _picker(self, job: Job) -> Picker | None:
+        """What the job chooses its rooms from; None if there is nothing for tasks of its size.
+
+        Within a pass rooms only fill up.  So where a task of the same size found nothing, only
+        rooms that have come since need to be looked at.
+        """
+        picker = self._pickers.get(job.id)
+        if picker is not None:
+            return picker
+        spec = job.spec
+        size = _size(spec)
+        first, shared = self._nothing.get(size, (0, self._shared))
+        if shared != self._shared and spec.spot_allowed:
+            first = 0
+        start = bisect_left(self.open, first, key=_order) if first else 0
+        fitting = [
+            room
+            for room in (self.open[start:] if start else self.open)
+            if room.fits(spec) and allowed(spec, room.machine_type, room.zone, room.spot)
+        ]
+        self.looked_at += len(self.open) - start
+        if not any(worth_it(spec, room, self.spot_scarce) for room in fitting):
+            self._nothing[size] = (len(self.rooms), self._shared)
+            return None
+        if job.errors:
+            fitting = [room for room in fitting if room.name not in job.errors] or fitting
+        picker = Picker(spec, fitting, self._rule(job), self.spot_scarce)
+        self._pickers[job.id] = picker
+        return picker
+
+    def _rule(self, job: Job) -> ZoneRule:
+        rule = self._rules.get(job.id)
+        if rule is None:
+            rule = self._rules[job.id] = ZoneRule(job.spec, self.cluster.zones_of(job))
+        return rule
 
     def _task(self, job: Job) -> float:
         """Book one task; its units, or 0 if the job passes."""
@@ -307,24 +432,37 @@
                 waiting
             )
             return 0.0
-        rule = ZoneRule(job.spec, self._zones(job))
-        room = choose(job.spec, self._open_rooms(job), rule, self.spot_scarce)
+        picker = self._picker(job)
+        room = picker.best() if picker is not None else None
         if room is None:
-            room = self._wish(job.spec, rule)
+            room = self._wish(job.spec, self._rule(job))
         if room is None:
             job.reasons[self._no_room_reason(job)] += waiting
             self.unplaced.append(job)
             return 0.0
-        room.book(job.spec)
+        self._fill_room(room, job.spec)
+        self._rule(job).zones[room.zone] += 1
         self._book(job, room, None)
         return job.units
 
-    def _zones(self, job: Job) -> Counter[str]:
-        zones = self.cluster.zones_of(job)
-        if self.virtual[job.id]:
-            for room in self._virtual_rooms.get(job.id, ()):
-                zones[room.zone] += 1
-        return zones
+    def _fill_room(self, room: Room, spec: Submission) -> None:
+        room.book(spec)
+        self._filled(room, spec)
+
+    def _filled(self, room: Room, spec: Submission) -> None:
+        """Something was booked into the room: it may rank better with others now."""
+        if not spec.spot_allowed and not room.spot:
+            self._shared += 1
+        for picker in self._pickers.values():
+            picker.refresh(room)
+        if _left(room, self._resource) <= EPSILON:
+            self._filled_up += 1
+            if self._filled_up * 4 > len(self.open):
+                self._open_again(self.open)
+
+    def _open_again(self, rooms: list[Room]) -> None:
+        self.open = [room for room in rooms if _left(room, self._resource) > EPSILON]
+        self._filled_up = 0
 
     def _book(self, job: Job, room: Room, number: int | None) -> None:
         self._count(job, 1)
@@ -337,7 +475,6 @@
             self.plan.placed.append(attempt.placed_task)
             return
         self.virtual[job.id] += 1
-        self._virtual_rooms.setdefault(job.id, []).append(room)
         if room.wish:
             job.reasons["a machine is being rented"] += 1
         else:
@@ -351,18 +488,24 @@
             job.reasons[reason] += spec.tasks
             return 0.0
         rooms = self._open_rooms(job)
-        found = choose_gang(spec, rooms, self.spot_scarce)
+        size = (*_size(spec), spec.tasks, spec.one_zone, spec.spread)
+        found = None
+        if job.errors or self._nothing.get(size) != (len(self.rooms), self._shared):
+            self.looked_at += len(rooms)
+            found = choose_gang(spec, rooms, self.spot_scarce)
         if found is None:
+            self._nothing[size] = (len(self.rooms), self._shared)
             wishes = self._gang_wishes(spec)
-            found = choose_gang(spec, [*rooms, *wishes], self.spot_scarce)
-            taken = [room for room in wishes if room.booked]
-            self.rooms.extend(taken)
-            for room in taken:
-                self._count_wish(room)
+            found = choose_gang(spec, [*rooms, *wishes], self.spot_scarce) if wishes else None
+            for room in wishes:
+                if room.booked:
+                    self._count_wish(room)
         if found is None:
             job.reasons[self._no_room_reason(job)] += spec.tasks
             self.unplaced.append(job)
             return 0.0
+        for room in set(found):
+            self._filled(room, spec)
         if all(room.up for room in found):
             number = self.cluster.next_number()
             for room in found:
@@ -371,7 +514,6 @@
             # Room is held on the machines that are up already, or it would never come together.
             self._count(job, spec.tasks)
             self.virtual[job.id] += spec.tasks
-            self._virtual_rooms[job.id] = found
             self.plan.held.update(room.name for room in found if not room.wish)
             job.reasons["room for the whole gang is being gathered"] += spec.tasks
             self.unplaced.append(job)
@@ -380,25 +522,20 @@
     # -- renting ---------------------------------------------------------------------------
 
     def _new_room(self, offer: Offer, kind: MachineType) -> Room:
-        return Room(
-            f"wish {offer.zone} {self.wishes} {len(self.rooms)}",
-            offer.machine_type,
-            offer.zone,
-            offer.spot,
-            kind.cpus,
-            kind.gpus,
-            kind.memory_gb,
-            up=False,
-            wish=True,
-            since=self.now,
-        )
+        name = f"wish {offer.zone} {self.wishes} {len(self.rooms)}"
+        return _empty_room(name, offer, kind, self.now, len(self.rooms), wish=True)
 
     def _held(self, offer: Offer) -> int:
         """Machines that we have of an offer, or ask for in this pass."""
-        return self.cluster.held(offer) + self.plan.rentals[offer]
+        return self.held[offer] + self.pending[offer] + self.plan.rentals[offer]
 
     def _count_wish(self, room: Room) -> None:
         self.wishes += 1
+        room.order = len(self.rooms)
+        self.rooms.append(room)
+        self.open.append(room)
+        for picker in self._pickers.values():
+            picker.refresh(room)
         self.present[room.zone] += 1
         self.plan.rentals[Offer(room.machine_type, room.zone, room.spot)] += 1
 
@@ -411,7 +548,6 @@
                 continue
             if rule.permits(offer.zone):
                 room = self._new_room(offer, kind)
-                self.rooms.append(room)
                 self._count_wish(room)
                 return room
         return None
@@ -429,7 +565,10 @@
                 left = self.market.left(offer, self._held(offer), self.now)
                 if left is not None:
                     count = min(count, left)
-                wishes += [self._new_room(offer, kind) for _ in range(count)]
+                for _ in range(count):
+                    room = self._new_room(offer, kind)
+                    room.order += len(wishes)
+                    wishes.append(room)
         return wishes
 
     def _no_room_reason(self, job: Job) -> str:
@@ -444,11 +583,12 @@
 
     def _keep_room(self, work: Expected) -> None:
         """Hold room for work of a class whose tasks are to start sooner than a machine boots."""
+        fitting = [r for r in self.rooms if r.fits(work.spec)]
         for _ in range(work.tasks):
             rule = ZoneRule(work.spec)
             # Room that holds more of the class's images is worth more: a fetch takes longer than
             # such a class may wait.
-            open_rooms = [r for r in self.rooms if r.fits(work.spec)]
+            open_rooms = [r for r in fitting if r.fits(work.spec)]
             if any(r.up and r.bound_tasks for r in open_rooms) and not work.spec.spot_allowed:
                 # The rest of a machine that is kept anyway costs nothing.
                 open_rooms = [r for r in open_rooms if r.bound_tasks]
@@ -462,7 +602,9 @@
             if room is None:
                 return
             room.book(work.spec)
-            if not room.wish:
+            if room.wish:
+                fitting.append(room)
+            else:
                 self.plan.spare.add(room.name)
 
     # -- victims ---------------------------------------------------------------------------
@@ -473,7 +615,14 @@
         if not needy:
             return
         rooms, victims = self._victims()
+        hopeless: set[tuple[object, ...]] = set()
+        left = MOST_KILLED_FOR
         for job, tasks, for_guarantee, resource in needy:
+            spec = job.spec
+            like = (spec.team, spec.priority, for_guarantee, *_size(spec))
+            if like in hopeless:
+                # Nothing could be done for a task like this one, and in a pass room only shrinks.
+                continue
             states = self.plan.teams[resource]
             # What runs, not what is held for later: only that can be given back.
             surplus = {
@@ -481,14 +630,26 @@
                 for name, state in states.items()
             }
             rule = ZoneRule(job.spec, self.cluster.zones_of(job))
+            usable = [
+                room
+                for room in rooms.values()
+                if allowed(spec, room.machine_type, room.zone, room.spot)
+            ]
             for _ in range(tasks):
-                chosen = self._victims_for(job, rule, rooms, victims, for_guarantee, surplus)
+                if left <= 0:
+                    return
+                chosen = self._victims_for(
+                    job, rule, usable, rooms, victims, for_guarantee, surplus
+                )
                 if chosen is None:
+                    if all(map(rule.permits, self.present)):
+                        hopeless.add(like)
                     break
                 for victim in chosen:
                     self.plan.kills.append((job.id, victim))
                     for machine in {entry[0] for entry in victim.frees}:
                         victims[machine] = [v for v in victims[machine] if v is not victim]
+                left -= bool(chosen)
 
     def _needy(self, usage: dict[str, tuple[float, float]]) -> list[tuple[Job, int, bool, str]]:
         """Jobs for which something may be killed, how many tasks, and whether for a guarantee."""
@@ -528,7 +689,9 @@
 
     def _victims(self) -> tuple[dict[str, Room], dict[str, list[Victim]]]:
         """Rooms as they will be when all that is stopping has stopped, and what could be killed."""
-        rooms = {room.name: room for room in build_rooms(self.cluster, self.now) if room.up}
+        rooms = {
+            room.name: room for room in build_rooms(self.cluster, self.now, Counter()) if room.up
+        }
         by_machine: dict[str, list[Victim]] = {}
         for job in self.cluster.live_jobs():
             if job.production or job.is_service:
@@ -569,6 +732,7 @@
         self,
         job: Job,
         rule: ZoneRule,
+        usable: list[Room],
         rooms: dict[str, Room],
         victims: dict[str, list[Victim]],
         for_guarantee: bool,
@@ -576,12 +740,8 @@
     ) -> list[Victim] | None:
         """Victims for one task; empty if room is about to be free; None if nothing can be done."""
         spec = job.spec
-        usable = [
-            room
-            for room in rooms.values()
-            if allowed(spec, room.machine_type, room.zone, room.spot) and rule.permits(room.zone)
-        ]
-        for room in usable:
+        open_rooms = [room for room in usable if rule.permits(room.zone)]
+        for room in open_rooms:
             if room.fits(spec):
                 room.book(spec)
                 rule.zones[room.zone] += 1
@@ -592,7 +752,9 @@
             for victim in offers
             if may_kill(victim, spec.team, RANK[spec.priority], for_guarantee, surplus)
         }
-        chosen = choose_victims(spec, usable, victims, permitted)
+        if not permitted:
+            return None
+        chosen = choose_victims(spec, open_rooms, victims, permitted)
         if not chosen:
             return None
         for victim in chosen:
@@ -602,7 +764,7 @@
                     freed.cpus += cpus
                     freed.gpus += gpus
                     freed.memory_gb += memory
-        for room in usable:
+        for room in open_rooms:
             if room.fits(spec):
                 room.book(spec)
                 rule.zones[room.zone] += 1
--- a/micadeal/controller/records.py
+++ b/micadeal/controller/records.py
@@ -2,30 +2,52 @@
 
 Every change depends on the version last known of its key.  A transaction whose answer was lost may
 be applied minutes later: it then finds a newer version and changes nothing.
+
+The state service limits keys written, not bytes.  So what a step places goes into one record under
+a new key, however many machines it is on.  A record is never changed: it is dropped when nothing
+that it names is left, or in the transaction that names the rest of it elsewhere.
 """
 
 from __future__ import annotations
 
+import zlib
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from datetime import timedelta
 
 from micadeal.clock import seconds, wall
 from micadeal.controller.cluster import Cluster
-from micadeal.fleet.model import Machine
+from micadeal.fleet.model import Attempt
 from micadeal.jobs.model import Job
 from micadeal.state.service import Limits, Urgency
+from micadeal.wire.codec import convert
 from micadeal.wire.state import (
     Condition,
     Drop,
     EndRecord,
     FinishedRecord,
-    PlacedTask,
+    ImagesRecord,
+    Item,
+    PlacedMachine,
+    PlacedRecord,
     Put,
 )
 from micadeal.wire.users import Status
 
-#: Records that only list too much are written when they have been so for this long.
+#: A record that names what is gone is rewritten when it has been so for this long.
 LAZY = seconds(4)
+#: One that still names more than this is rewritten later: that costs the same and spares less.
+FEW = 8
+#: Finished tasks of a job are gathered for this long before its set is written.
+GATHER = seconds(1)
+#: Records of placements in one transaction: it may hold 64 KiB, each value some of that.
+MOST_PLACED = 4
+#: Pages of the images that machines hold, how often one is written at most, images per machine.
+IMAGE_PAGES = 16
+IMAGES_EVERY = seconds(20)
+MOST_IMAGES = 12
+PLACED = "placed/"
+IMAGES = "images/"
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +55,8 @@
     operations: tuple[Put | Drop, ...]
     conditions: tuple[Condition, ...]
     urgency: Urgency
-    machines: tuple[tuple[str, frozenset[PlacedTask]], ...] = ()
+    #: Records of placements in this batch, and what each names.
+    placed: tuple[tuple[str, tuple[Attempt, ...]], ...] = ()
     #: (job, finished tasks of it that the batch writes, chunk)
     finished: tuple[tuple[str, frozenset[int], int], ...] = ()
     #: The job that this batch ends.
@@ -41,26 +64,42 @@
 
 
 class Recorder:
-    """Chooses what to write next; one batch of records and a few job ends are under way at once."""
+    """Chooses what to write next.
+
+    Under way at once are one batch of placements, one of what can wait, and a few job ends: a
+    batch that waits for the rate limit must not hold up placements.
+    """
 
     def __init__(self, cluster: Cluster, limits: Limits) -> None:
         self._cluster = cluster
         self._limits = limits
         self.versions: dict[str, int] = {}
         self._drops: set[str] = set()
-        self._busy = False
+        self._placing = False
+        self._lazying = False
         self._ending: set[str] = set()
-        self._stale_since: dict[str, timedelta] = {}
+        self._number = 0
+        self._unsure: list[str] = []
+        self._gathering: dict[str, timedelta] = {}
+        self._lazy_due = timedelta(0)
+        self._pages: dict[str, tuple[ImagesRecord, timedelta]] = {}
 
     def drop(self, key: str) -> None:
         self._drops.add(key)
 
+    def load_images(self, key: str, record: ImagesRecord, now: timedelta) -> None:
+        self._pages[key] = (record, now)
+
     def next(self, now: timedelta) -> list[Changes]:
         batches = self._ends()
-        if not self._busy:
-            batch = self._batch(now)
+        if not self._placing and self._cluster.unwritten:
+            self._placing = True
+            batches.append(self._placements())
+        if not self._lazying and now >= self._lazy_due:
+            self._lazy_due = now + seconds(0.25)
+            batch = self._lazy(now)
             if batch is not None:
-                self._busy = True
+                self._lazying = True
                 batches.append(batch)
         return batches
 
@@ -86,130 +125,264 @@
         conditions = (Condition(f"job/{job.id}", job.version), Condition(f"end/{job.id}", 0))
         return Changes(tuple(operations), conditions, Urgency.PLACEMENT, ends=job.id)
 
-    # -- records ---------------------------------------------------------------------------
+    # -- placements ------------------------------------------------------------------------
+
+    def _new_key(self) -> str:
+        """A key for a record of placements.
+
+        One whose writing had an unknown outcome is used again first, under the version it was
+        found with: otherwise a late transaction could leave a record that nobody knows of.
+        """
+        if self._unsure:
+            return self._unsure.pop()
+        self._number += 1
+        return f"{PLACED}{self._cluster.token}/{self._number}"
+
+    def _placements(self) -> Changes:
+        placed: list[tuple[str, tuple[Attempt, ...]]] = []
+        most = min(MOST_PLACED, self._limits.operations)
+        for chunk in self._chunks(self._cluster.unwritten):
+            placed.append((self._new_key(), chunk))
+            if len(placed) >= most:
+                break
+        operations = tuple(Put(key, self._record(chunk)) for key, chunk in placed)
+        return Changes(operations, self._conditions(operations), Urgency.PLACEMENT, tuple(placed))
+
+    def _chunks(self, attempts: Iterable[Attempt]) -> Iterator[tuple[Attempt, ...]]:
+        """Attempts in parts that fit into a value each; sizes are counted from above."""
+        limit = self._limits.value_bytes - 64
+        chunk: list[Attempt] = []
+        names: set[str] = set()
+        size = 0
+        for attempt in attempts:
+            machine = self._cluster.machines[attempt.machine]
+            needed = _json_size(attempt.job_id) + 36
+            head = 70 + sum(
+                map(_json_size, (machine.name, machine.address, machine.machine_type, machine.zone))
+            )
+            more = needed if machine.name in names else needed + head
+            if chunk and size + more > limit:
+                yield tuple(chunk)
+                chunk, names, size = [], set(), 0
+                more = needed + head
+            chunk.append(attempt)
+            names.add(machine.name)
+            size += more
+        if chunk:
+            yield tuple(chunk)
 
-    def _batch(self, now: timedelta) -> Changes | None:
+    def _record(self, attempts: Iterable[Attempt]) -> PlacedRecord:
+        entries: dict[str, PlacedMachine] = {}
+        for attempt in attempts:
+            entry = entries.get(attempt.machine)
+            if entry is None:
+                machine = self._cluster.machines[attempt.machine]
+                entry = entries[attempt.machine] = PlacedMachine(
+                    machine.name,
+                    machine.address,
+                    machine.machine_type,
+                    machine.zone,
+                    machine.spot,
+                    machine.session,
+                    [],
+                )
+            entry.tasks.append(attempt.placed_task)
+        return PlacedRecord(list(entries.values()))
+
+    def _conditions(self, operations: Iterable[Put | Drop]) -> tuple[Condition, ...]:
+        return tuple(
+            Condition(operation.key, self.versions.get(operation.key, 0))
+            for operation in operations
+        )
+
+    # -- what can wait ---------------------------------------------------------------------
+
+    def _lazy(self, now: timedelta) -> Changes | None:
         operations: list[Put | Drop] = []
-        machines: list[tuple[str, frozenset[PlacedTask]]] = []
         finished: list[tuple[str, frozenset[int], int]] = []
-        # A fifth of a second's worth: the bucket refills while the batch is under way.
+        placed: list[tuple[str, tuple[Attempt, ...]]] = []
+        # A third of a second's worth: the bucket refills while the batch is under way.
         most = min(self._limits.operations, max(4, int(self._limits.changes_per_s / 3)))
-        urgency = Urgency.REST
-        for machine in self._cluster.machines.values():
+        self._finished(now, operations, finished, most)
+        if len(operations) + 2 <= most:
+            self._merge(now, operations, placed, most)
+        for key in list(self._drops):
             if len(operations) >= most:
                 break
-            if any(not attempt.durable for attempt in machine.attempts.values()):
-                urgency = Urgency.PLACEMENT
-                self._add_machine(machine, operations, machines)
+            if self.versions.get(key, 0):
+                operations.append(Drop(key))
+            else:
+                self._drops.discard(key)
+        if not operations:
+            self._images(now, operations)
+        if not operations:
+            return None
+        return Changes(
+            tuple(operations),
+            self._conditions(operations),
+            Urgency.REST,
+            tuple(placed),
+            tuple(finished),
+        )
+
+    def _finished(
+        self,
+        now: timedelta,
+        operations: list[Put | Drop],
+        finished: list[tuple[str, frozenset[int], int]],
+        most: int,
+    ) -> None:
         for job_id in list(self._cluster.finished_dirty):
             job = self._cluster.jobs.get(job_id)
             if job is None or job.over or job.complete:
+                self._gathering.pop(job_id, None)
+                continue
+            if now - self._gathering.setdefault(job_id, now) < GATHER:
                 continue
             chunks = self._cluster.chunks_to_write(job)
             if not chunks:
                 self._cluster.finished_dirty.discard(job_id)
+                del self._gathering[job_id]
+                continue
             for chunk in sorted(chunks):
                 if len(operations) >= most:
-                    break
-                urgency = Urgency.PLACEMENT
+                    return
                 bits = job.chunk_bits(chunk)
                 operations.append(Put(f"done/{job.id}/{chunk}", FinishedRecord(bits)))
                 job.chunks.add(chunk)
                 finished.append((job.id, frozenset(job.finished), chunk))
-        if not operations:
-            self._lazy(now, operations, machines, most)
-        if not operations:
-            return None
-        conditions = tuple(
-            Condition(key, self.versions.get(key, 0)) for key in map(_key, operations)
-        )
-        return Changes(tuple(operations), conditions, urgency, tuple(machines), tuple(finished))
+            self._gathering[job_id] = now
 
-    def _add_machine(
-        self,
-        machine: Machine,
-        operations: list[Put | Drop],
-        machines: list[tuple[str, frozenset[PlacedTask]]],
-    ) -> None:
-        wanted = machine.wanted_record()
-        key = f"machine/{machine.name}"
-        if wanted:
-            operations.append(Put(key, self._cluster.record(machine)))
-        else:
-            operations.append(Drop(key))
-        machines.append((machine.name, wanted))
-        self._stale_since.pop(machine.name, None)
-
-    def _lazy(
+    def _merge(
         self,
         now: timedelta,
         operations: list[Put | Drop],
-        machines: list[tuple[str, frozenset[PlacedTask]]],
+        placed: list[tuple[str, tuple[Attempt, ...]]],
         most: int,
     ) -> None:
-        """Records that list what is gone: a new leader would only find out by asking."""
-        for machine in self._cluster.machines.values():
-            if machine.recorded is None or machine.recorded == machine.wanted_record():
-                self._stale_since.pop(machine.name, None)
+        """Drop records of which nothing is left; what is left of others goes into one record.
+
+        Otherwise a new leader would have to ask for what is long gone.
+        """
+        records = self._cluster.records
+        rest: list[Attempt] = []
+        for key, since in list(self._cluster.shrunk.items()):
+            if len(operations) + 2 > most:
+                break
+            left = records[key]
+            if now - since < (LAZY if len(left) <= FEW else LAZY * 3):
                 continue
-            since = self._stale_since.setdefault(machine.name, now)
-            if now - since >= LAZY and len(operations) < most:
-                self._add_machine(machine, operations, machines)
-        for key in list(self.versions):
-            name = key.removeprefix("machine/")
-            if key.startswith("machine/") and self.versions[key] and name in self._cluster.gone:
-                self._drops.add(key)
-        for key in list(self._drops):
-            if len(operations) >= most:
+            if len(rest) + len(left) and len(list(self._chunks([*rest, *left]))) > 1:
+                if not rest:
+                    # It fills a value by itself: written anew it would be no shorter.
+                    continue
                 break
-            if self.versions.get(key, 0):
-                operations.append(Drop(key))
-            else:
-                self._drops.discard(key)
+            rest += left
+            operations.append(Drop(key))
+        if rest:
+            key = self._new_key()
+            operations.append(Put(key, self._record(rest)))
+            placed.append((key, tuple(rest)))
+
+    def _images(self, now: timedelta, operations: list[Put | Drop]) -> None:
+        """One page of the images on machines, if one is due and has changed."""
+        pages: list[dict[str, list[str]]] = [{} for _ in range(IMAGE_PAGES)]
+        for number in range(IMAGE_PAGES):
+            key = f"{IMAGES}{number}"
+            last = self._pages.get(key)
+            if last is not None and now - last[1] < IMAGES_EVERY:
+                continue
+            if not any(pages):
+                for machine in self._cluster.machines.values():
+                    if machine.images:
+                        latest = sorted(
+                            machine.images, key=lambda name: machine.images[name], reverse=True
+                        )
+                        page = zlib.crc32(machine.name.encode()) % IMAGE_PAGES
+                        pages[page][machine.name] = sorted(latest[:MOST_IMAGES])
+            size, kept = 32, dict[str, list[str]]()
+            for name, images in pages[number].items():
+                size += _json_size(name) + sum(map(_json_size, images)) + 4
+                if size > self._limits.value_bytes:
+                    break
+                kept[name] = images
+            record = ImagesRecord(kept)
+            unchanged = last is not None and last[0] == record
+            self._pages[key] = (record, now)
+            if not unchanged and (kept or self.versions.get(key, 0)):
+                operations.append(Put(key, record))
+                return
 
     # -- outcomes --------------------------------------------------------------------------
 
     def committed(self, changes: Changes, revision: int, now: timedelta) -> None:
         for operation in changes.operations:
-            key = _key(operation)
             if isinstance(operation, Put):
-                self.versions[key] = revision
-            else:
-                self.versions.pop(key, None)
-                self._drops.discard(key)
+                self.versions[operation.key] = revision
         if changes.ends is not None:
+            for operation in changes.operations:
+                self.versions.pop(operation.key, None)
+                self._drops.discard(operation.key)
             self._ending.discard(changes.ends)
-            self.versions.pop(f"end/{changes.ends}", None)
             self._cluster.finished_dirty.discard(changes.ends)
             self._cluster.job_done(changes.ends, now)
             return
-        self._busy = False
-        for name, tasks in changes.machines:
-            machine = self._cluster.machines.get(name)
-            if machine is not None:
-                self._cluster.recorded(machine, tasks)
+        self._settled(changes)
+        # What is named anew first, then the records that named it before.
+        for key, attempts in changes.placed:
+            self._cluster.written(key, attempts, now)
+        for operation in changes.operations:
+            if isinstance(operation, Drop):
+                self.versions.pop(operation.key, None)
+                self._drops.discard(operation.key)
+                self._cluster.record_gone(operation.key)
         for job_id, indexes, chunk in changes.finished:
             job = self._cluster.jobs.get(job_id)
             if job is not None:
                 job.mark_durable(indexes, chunk)
 
-    def failed(self, changes: Changes, versions: dict[str, int], now: timedelta) -> None:
-        """Not executed, or unknown: the versions say what the service holds now."""
+    def failed(self, changes: Changes, found: dict[str, Item | None], now: timedelta) -> None:
+        """Not executed, or unknown: ``found`` is what the service holds now."""
         if changes.ends is not None:
             # If the job is gone from the service it is over, one way or the other; the watch
             # of jobs tells the cluster.
             self._ending.discard(changes.ends)
             job = self._cluster.jobs.get(changes.ends)
-            if job is not None and versions.get(f"end/{changes.ends}", 0):
+            if job is not None and found.get(f"end/{changes.ends}") is not None:
                 self._cluster.job_done(changes.ends, now)
             return
-        self._busy = False
-        for key, version in versions.items():
-            if version:
-                self.versions[key] = version
+        self._settled(changes)
+        for key, item in found.items():
+            if item is not None:
+                self.versions[key] = item.version
             else:
                 self.versions.pop(key, None)
+        for key, attempts in changes.placed:
+            item = found.get(key)
+            if item is None:
+                self._unsure.append(key)
+                continue
+            # Applied after all, perhaps by an earlier transaction under the same key.
+            named = {
+                (entry.name, task)
+                for entry in convert(PlacedRecord, item.value).machines
+                for task in entry.tasks
+            }
+            there = [a for a in attempts if (a.machine, a.placed_task) in named]
+            self._cluster.written(key, there, now)
+            if len(there) < len(named):
+                self._cluster.shrunk.setdefault(key, now)
+        for key, item in found.items():
+            if item is None and key in self._cluster.records:
+                self._cluster.record_gone(key)
+
+    def _settled(self, changes: Changes) -> None:
+        if changes.urgency is Urgency.PLACEMENT:
+            self._placing = False
+        else:
+            self._lazying = False
 
 
-def _key(operation: Put | Drop) -> str:
-    return operation.key
+def _json_size(text: str) -> int:
+    """Bytes of a text in JSON, in which the limits are counted, at most."""
+    return len(text) + 3 if text.isascii() else len(text) * 6 + 3
--- a/micadeal/controller/scheduler.py
+++ b/micadeal/controller/scheduler.py
@@ -54,7 +54,7 @@
 
 
 class Scheduler:
-    """One term's decisions.  ``step`` is called after events and at least twice a second."""
+    """One term's decisions.  ``tick`` is called often, ``run_pass`` when it is wanted."""
 
     def __init__(
         self,
@@ -70,7 +70,8 @@
         self.objectives = tuple(objectives)
         self.timers: dict[tuple[str, str], StarvationTimer] = {}
         self.plan = Plan()
-        self.rental: RentalRequest | None = None
+        #: Rentals asked for and not answered yet, one for each offer at most.
+        self.rentals: dict[Offer, RentalRequest] = {}
         #: Machines to be returned; stays filled until the cloud confirms.
         self.releases: set[str] = set()
         self.listed = False
@@ -141,8 +142,8 @@
                 machine.missing_lists += 1
 
     def rented(self, request: RentalRequest, names: list[str], now: timedelta) -> None:
-        self.rental = None
         offer = Offer(request.machine_type, request.zone, request.spot)
+        self.rentals.pop(offer, None)
         self.market.granted(offer)
         for name in names:
             if name not in self.cluster.machines and name not in self.cluster.gone:
@@ -154,8 +155,8 @@
         self.cluster.changed = True
 
     def rental_refused(self, request: RentalRequest, now: timedelta) -> None:
-        self.rental = None
         offer = Offer(request.machine_type, request.zone, request.spot)
+        self.rentals.pop(offer, None)
         self.market.refused(offer, self.cluster.held(offer), now)
         self.cluster.changed = True
 
@@ -168,16 +169,24 @@
 
     def step(self, now: timedelta) -> None:
         """Look at the clock; a pass if something changed or the refresh period is over."""
+        self.tick(now)
+        if self.wants_pass(now):
+            self.run_pass(now)
+
+    def tick(self, now: timedelta) -> None:
+        """What is due by the clock alone."""
         self.cluster.expire(now)
         self._drain(now)
-        due = self._last_pass is None or now - self._last_pass >= self.policy.refresh
-        if self.cluster.changed or due:
-            self._pass(now)
         self._look_after_machines(now)
         if self._last_line is None or now - self._last_line >= LINE_EVERY:
             self._last_line = now
             log.info("%s", self._status_line())
 
+    def wants_pass(self, now: timedelta) -> bool:
+        """Something changed, or the refresh period is over."""
+        due = self._last_pass is None or now - self._last_pass >= self.policy.refresh
+        return self.cluster.changed or due
+
     def _status_line(self) -> str:
         """Machines and booked accelerators at a glance, for the log."""
         cluster = self.cluster
@@ -201,10 +210,12 @@
         waiting = sum(job.waiting_count() for job in cluster.live_jobs())
         return "; ".join([*parts, f"{waiting} tasks waiting"])
 
-    def _pass(self, now: timedelta) -> None:
+    def run_pass(self, now: timedelta) -> None:
         self.cluster.changed = False
         self._last_pass = now
-        may_rent = self.rental is None and self.listed and now - self.cluster.began >= COUNTING_TIME
+        may_rent = self.listed and now - self.cluster.began >= COUNTING_TIME
+        # What is asked for counts as booting: else it would be rented twice.
+        pending = Counter({offer: request.count for offer, request in self.rentals.items()})
         plan = Pass(
             self.cluster,
             self.market,
@@ -213,6 +224,7 @@
             self._expected(now),
             now,
             may_rent=may_rent,
+            pending=pending,
         ).run()
         self.plan = plan
         for needy, victim in plan.kills:
@@ -223,10 +235,11 @@
                 continue
             for attempt in list(job.attempts.get(victim.index, ())):
                 self.cluster.stop(attempt, grace_to_save(job), now)
-        if plan.rentals and self.rental is None:
-            offer, count = plan.rentals.most_common(1)[0]
+        for offer, count in plan.rentals.most_common():
+            if offer in self.rentals:
+                continue
             self._rentals += 1
-            self.rental = RentalRequest(
+            self.rentals[offer] = RentalRequest(
                 f"{self.cluster.token}-{self._rentals}",
                 offer.machine_type,
                 offer.zone,
--- a/micadeal/fleet/model.py
+++ b/micadeal/fleet/model.py
@@ -21,8 +21,8 @@
     number: int
     machine: str
     placed: timedelta
-    #: The machine's record in the state service names it: it may be started.
-    durable: bool = False
+    #: Key of the record in the state service that names it: it may be started.
+    record: str | None = None
     #: Last reported state; None: never shown by a report.
     state: TaskState | None = None
     #: (session, sequence) of the last report in whose answer its start was ordered.
@@ -40,6 +40,10 @@
     def task(self) -> str:
         return f"{self.job_id}/{self.index}"
 
+    @property
+    def durable(self) -> bool:
+        return self.record is not None
+
     @property
     def running(self) -> bool:
         return self.state is TaskState.RUNNING
@@ -49,6 +53,19 @@
         return PlacedTask(self.job_id, self.index, self.number)
 
 
+@dataclass(frozen=True, slots=True)
+class MachineShape:
+    """What is free on a machine, and which images it holds or fetches."""
+
+    cpus: float
+    gpus: float
+    memory_gb: float
+    tasks: int
+    bound_tasks: int
+    images: frozenset[str]
+    fetching: frozenset[str]
+
+
 @dataclass(slots=True, eq=False)
 class Machine:
     name: str
@@ -72,8 +89,6 @@
     exited: dict[tuple[str, int], tuple[str, int, bool]] = field(default_factory=dict)
     #: Images seen on it, by last use.
     images: dict[str, timedelta] = field(default_factory=dict)
-    #: What its record in the state service lists; None: no record.
-    recorded: frozenset[PlacedTask] | None = None
     #: Gets no new work; returned when empty.
     leaving: str | None = None
     release_asked: timedelta | None = None
@@ -83,6 +98,8 @@
     #: Jobs that failed on it since something last succeeded on it.
     errors: set[str] = field(default_factory=set)
     listed_failed: bool = False
+    #: What a pass derives from the attempts and images on it, kept until one of them changes.
+    shape: MachineShape | None = None
     #: Has been in a list; how many lists in a row have missed it since.
     listed: bool = False
     missing_lists: int = 0
@@ -104,6 +121,3 @@
 
     def age(self, now: timedelta) -> timedelta:
         return max(now - self.rented, ZERO)
-
-    def wanted_record(self) -> frozenset[PlacedTask]:
-        return frozenset(attempt.placed_task for attempt in self.attempts.values())
--- a/micadeal/jobs/model.py
+++ b/micadeal/jobs/model.py
@@ -40,6 +40,8 @@
     reasons: Counter[str] = field(default_factory=Counter)
     _fresh: int = 0
     _returned: list[int] = field(default_factory=list)
+    #: Tasks that are finished and have attempts left: counted along, since passes ask often.
+    _both: int = 0
 
     @property
     def id(self) -> str:
@@ -82,8 +84,7 @@
     def waiting_count(self) -> int:
         if self.over:
             return 0
-        both = sum(1 for index in self.attempts if index in self.finished)
-        return self.spec.tasks - len(self.finished) - len(self.attempts) + both
+        return self.spec.tasks - len(self.finished) - len(self.attempts) + self._both
 
     def running_count(self) -> int:
         return sum(
@@ -108,19 +109,28 @@
         return self._fresh if self._fresh < self.spec.tasks else None
 
     def add(self, attempt: Attempt) -> None:
-        self.attempts.setdefault(attempt.index, []).append(attempt)
+        attempts = self.attempts.get(attempt.index)
+        if attempts is None:
+            attempts = self.attempts[attempt.index] = []
+            self._both += attempt.index in self.finished
+        attempts.append(attempt)
 
     def remove(self, attempt: Attempt) -> None:
         rest = [other for other in self.attempts.get(attempt.index, ()) if other is not attempt]
         if rest:
             self.attempts[attempt.index] = rest
             return
-        self.attempts.pop(attempt.index, None)
-        if attempt.index not in self.finished:
+        if self.attempts.pop(attempt.index, None) is None:
+            return
+        if attempt.index in self.finished:
+            self._both -= 1
+        else:
             heapq.heappush(self._returned, attempt.index)
 
     def finish(self, index: int) -> None:
-        self.finished.add(index)
+        if index not in self.finished:
+            self.finished.add(index)
+            self._both += index in self.attempts
 
     def mark_durable(self, indexes: frozenset[int], chunk: int) -> None:
         """The state service holds these finished tasks of a chunk."""
@@ -148,6 +158,6 @@
             for bit in range(8):
                 index = start + place * 8 + bit
                 if byte >> bit & 1 and index < self.spec.tasks:
-                    self.finished.add(index)
+                    self.finish(index)
                     self.durable.add(index)
         self.chunks.add(chunk)
--- a/micadeal/placement/rooms.py
+++ b/micadeal/placement/rooms.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
+from heapq import heapify, heappop, heappush, heapreplace
 
 from micadeal.wire.cloud import MachineType
 from micadeal.wire.users import Shape, Submission
@@ -38,6 +39,8 @@
     bound_tasks: int = 0
     booked: int = 0
     since: timedelta = timedelta(0)
+    #: Place in the pass: of equally good rooms the first is taken.
+    order: int = 0
 
     def fits(self, spec: Submission) -> bool:
         return (
@@ -46,6 +49,20 @@
             and spec.memory_gb <= self.memory_gb + EPSILON
         )
 
+    def places(self, spec: Submission) -> int:
+        """How many tasks of this size there is room for."""
+        return int(
+            min(
+                have / need
+                for have, need in (
+                    (self.cpus + EPSILON, spec.cpus),
+                    (self.gpus + EPSILON, spec.gpus),
+                    (self.memory_gb + EPSILON, spec.memory_gb),
+                )
+                if need > 0
+            )
+        )
+
     def book(self, spec: Submission) -> None:
         self.cpus -= spec.cpus
         self.gpus -= spec.gpus
@@ -125,6 +142,11 @@
     )
 
 
+def worth_it(spec: Submission, room: Room, batch_on_ordinary: bool) -> bool:
+    """An ordinary machine is not kept for work that may run on a cheaper one."""
+    return bool(room.spot or room.bound_tasks or batch_on_ordinary or not spec.spot_allowed)
+
+
 def choose(
     spec: Submission, rooms: Iterable[Room], rule: ZoneRule, batch_on_ordinary: bool
 ) -> Room | None:
@@ -136,8 +158,7 @@
             continue
         if not rule.permits(room.zone):
             continue
-        if spec.spot_allowed and not room.spot and not batch_on_ordinary and not room.bound_tasks:
-            # An ordinary machine is not kept for work that may run on a cheaper one.
+        if not worth_it(spec, room, batch_on_ordinary):
             continue
         value = rank(spec, room, rule.zones)
         if best is None or value < best_rank:
@@ -145,6 +166,55 @@
     return best
 
 
+class Picker:
+    """Picks rooms for the tasks of one job, one after the other, as ``choose`` would.
+
+    The rooms are ranked once, not anew for each task.  That holds because within a pass rooms only
+    fill up: an entry may have become worse, which is seen when it is taken from the heap, and a
+    room that has become better (fuller, or shared now) is put in again by ``refresh``.
+    """
+
+    __slots__ = ("_batch_on_ordinary", "_heap", "_rule", "_spec")
+
+    def __init__(
+        self, spec: Submission, rooms: Iterable[Room], rule: ZoneRule, batch_on_ordinary: bool
+    ) -> None:
+        self._spec = spec
+        self._rule = rule
+        self._batch_on_ordinary = batch_on_ordinary
+        self._heap: list[tuple[tuple[float, ...], int, str, Room]] = []
+        for room in rooms:
+            if room.fits(spec) and self._open(room):
+                self._heap.append((rank(spec, room, rule.zones), room.order, room.name, room))
+        heapify(self._heap)
+
+    def _open(self, room: Room) -> bool:
+        spec = self._spec
+        return allowed(spec, room.machine_type, room.zone, room.spot) and worth_it(
+            spec, room, self._batch_on_ordinary
+        )
+
+    def refresh(self, room: Room) -> None:
+        """Something was booked into the room, or it is new."""
+        if room.fits(self._spec) and self._open(room):
+            value = rank(self._spec, room, self._rule.zones)
+            heappush(self._heap, (value, room.order, room.name, room))
+
+    def best(self) -> Room | None:
+        """The room for the next task; the caller books it and says so to ``refresh``."""
+        while self._heap:
+            value, order, name, room = self._heap[0]
+            if not room.fits(self._spec) or not self._rule.permits(room.zone):
+                # Neither comes back within a pass.
+                heappop(self._heap)
+                continue
+            now = rank(self._spec, room, self._rule.zones)
+            if now == value:
+                return room
+            heapreplace(self._heap, (now, order, name, room))
+        return None
+
+
 def choose_gang(
     spec: Submission, rooms: Sequence[Room], batch_on_ordinary: bool
 ) -> list[Room] | None:
@@ -152,13 +222,17 @@
 
     With ``one_zone`` each zone is tried and the one that can start soonest is taken.
     """
-    zones: list[str | None] = (
-        sorted({room.zone for room in rooms}, key=str) if spec.one_zone else [None]
-    )
+    by_zone: dict[str | None, list[Room]] = {}
+    for room in rooms:
+        if room.fits(spec) and allowed(spec, room.machine_type, room.zone, room.spot):
+            by_zone.setdefault(room.zone if spec.one_zone else None, []).append(room)
     best: list[Room] | None = None
     best_cost: tuple[float, ...] = ()
-    for zone in zones:
-        found = _fill([r for r in rooms if zone is None or r.zone == zone], spec, batch_on_ordinary)
+    for zone in sorted(by_zone, key=str):
+        fitting = by_zone[zone]
+        if sum(room.places(spec) for room in fitting) < spec.tasks:
+            continue
+        found = _fill(fitting, spec, batch_on_ordinary)
         if found is None:
             continue
         cost = (
@@ -178,9 +252,10 @@
 
 def _fill(rooms: list[Room], spec: Submission, batch_on_ordinary: bool) -> list[Room] | None:
     rule = ZoneRule(spec)
+    picker = Picker(spec, rooms, rule, batch_on_ordinary)
     chosen: list[Room] = []
     for _ in range(spec.tasks):
-        room = choose(spec, rooms, rule, batch_on_ordinary)
+        room = picker.best()
         if room is None:
             for taken in chosen:
                 taken.unbook(spec)
@@ -188,4 +263,5 @@
         room.book(spec)
         rule.zones[room.zone] += 1
         chosen.append(room)
+        picker.refresh(room)
     return chosen
--- a/micadeal/wire/state.py
+++ b/micadeal/wire/state.py
@@ -122,8 +122,30 @@
     attempt: int
 
 
+class PlacedMachine(msgspec.Struct, array_like=True):
+    """A machine as a record of placements names it, with the tasks placed on it."""
+
+    name: str
+    address: str
+    machine_type: str
+    zone: str
+    spot: bool
+    session: int
+    tasks: list[PlacedTask]
+
+
+class PlacedRecord(msgspec.Struct):
+    """Under ``placed/<token>/<number>``: tasks that may be on machines; written before any start.
+
+    One record holds all that a step placed, on however many machines: the state service counts
+    keys, not bytes.
+    """
+
+    machines: list[PlacedMachine]
+
+
 class MachineRecord(msgspec.Struct):
-    """Under ``machine/<name>``: what may be on a machine; written before any start."""
+    """Under ``machine/<name>`` in the layout before ``placed/``: still read, never written."""
 
     machine_type: str
     zone: str
@@ -131,8 +153,30 @@
     address: str
     session: int
     tasks: list[PlacedTask]
-    #: Images that the machine is likely to hold, the last used first.
-    images: list[str] = []
+
+    def placed(self, name: str) -> PlacedRecord:
+        return PlacedRecord(
+            [
+                PlacedMachine(
+                    name,
+                    self.address,
+                    self.machine_type,
+                    self.zone,
+                    self.spot,
+                    self.session,
+                    self.tasks,
+                )
+            ]
+        )
+
+
+class ImagesRecord(msgspec.Struct):
+    """Under ``images/<page>``: images that machines are likely to hold, the last used first.
+
+    Only a help for placing; nothing depends on its being right.
+    """
+
+    machines: dict[str, list[str]]
 
 
 class SettingsRecord(msgspec.Struct, omit_defaults=True):
--- /dev/null
+++ b/tests/fakes/picture.py
@@ -0,0 +1,97 @@
+"""A made-up picture of a large deployment, the same for the same seed: machines up and booting,
+jobs that run and jobs that wait.  For stories about scale and for `bench/profile_pass.py`."""
+
+from __future__ import annotations
+
+import random
+from datetime import timedelta
+
+from micadeal.clock import seconds
+from micadeal.controller.cluster import Cluster
+from micadeal.controller.scheduler import Scheduler
+from micadeal.fleet.offers import Market
+from micadeal.jobs.model import Job
+from micadeal.operator.platform import Objective, Team, Workers
+from micadeal.operator.policy import Policy
+from micadeal.wire.cloud import ListedMachine, MachineType
+from micadeal.wire.users import Priority, Shape, Submission
+from micadeal.wire.workers import Report, TaskReport
+
+WORKERS = Workers(seconds(2), seconds(14), seconds(50), seconds(6), seconds(34))
+ZONES = ["north", "south", "west"]
+TOKEN = 7
+BOX = MachineType("box", 16.0, 2.0, 64.0, 70.0, 0.6, 7.0, 45.0, ZONES, 2.5)
+
+
+class Picture:
+    def __init__(self, machines: int, jobs: int, seed: int = 1, teams: int = 5) -> None:
+        self.random = random.Random(seed)
+        self.now: timedelta = seconds(100)
+        names = [f"team-{i}" for i in range(teams)]
+        limits = {n: Team(n, 0.0, machines * 0.5, None, machines * 2.0) for n in names}
+        self.cluster = Cluster(TOKEN, WORKERS, limits, seconds(0))
+        objectives = [Objective("wait", "live", seconds(12))]
+        self.scheduler = Scheduler(self.cluster, Market(), Policy(), objectives, seconds(0))
+        self.scheduler.set_catalog([BOX])
+        self.sequences: dict[str, int] = {}
+        self.count = 0
+        self.teams = names
+        listed = [
+            ListedMachine(
+                f"i-{i:06d}", f"10.1.{i >> 8}.{i & 255}:9000", "box",
+                ZONES[i % 3], i % 2 == 1, "running", 50.0,
+            )
+            for i in range(machines)
+        ]  # fmt: skip
+        self.scheduler.on_list(listed, self.now)
+        for entry in listed:
+            self.report(entry.name)
+        for _ in range(jobs):
+            self.submit()
+
+    def submit(self, **fields: object) -> Job:
+        self.count += 1
+        kind = self.random.choice(["live", "scan", "scan", "train"])
+        values: dict[str, object] = {
+            "job_id": f"req-{self.count:06d}", "job_class": kind,
+            "team": self.random.choice(self.teams),
+            "image": f"{kind}-{self.random.randrange(16)}", "image_gb": 6.0, "estimate_s": 100.0,
+            "cpus": 5.0, "gpus": 1.0, "memory_gb": 20.0, "checkpoint_s": 30.0, "save_s": 5.0,
+        }  # fmt: skip
+        if kind == "live":
+            values |= {
+                "shape": Shape.SERVICE, "priority": Priority.PRODUCTION, "spread": True,
+                "tasks": self.random.choice([3, 4, 6]), "one_zone": False, "spot_allowed": False,
+            }  # fmt: skip
+        elif kind == "scan":
+            values |= {
+                "shape": Shape.ARRAY, "priority": Priority.STANDARD, "spread": False,
+                "tasks": self.random.randrange(5, 60), "one_zone": False, "spot_allowed": True,
+                "cpus": round(self.random.uniform(5, 7), 2),
+            }  # fmt: skip
+        else:
+            values |= {
+                "shape": Shape.GANG, "priority": Priority.STANDARD, "spread": False,
+                "tasks": self.random.choice([1, 2, 4, 8]), "one_zone": True,
+                "spot_allowed": False, "cpus": 14.0, "gpus": 2.0, "memory_gb": 51.0,
+            }  # fmt: skip
+        job = Job(Submission(**(values | fields)), self.now, self.count)  # type: ignore[arg-type]
+        self.scheduler.job_added(job, self.now)
+        return job
+
+    def report(self, name: str, done: int = 0) -> None:
+        """The machine's next report: all it was told to run runs, ``done`` of it has ended."""
+        machine = self.cluster.machines[name]
+        sequence = self.sequences[name] = self.sequences.get(name, 0) + 1
+        tasks = [
+            TaskReport(a.task, a.number, "running")
+            for a in machine.attempts.values()
+            if a.ordered is not None and a.stop is None
+        ]
+        for task in tasks[:done]:
+            task.state, task.why = "exited", "done"
+        self.scheduler.on_report(
+            Report(name, machine.address, "box", machine.zone, machine.spot, 1, sequence, TOKEN,
+                   None, tasks),
+            self.now, checkin=True, full=True,
+        )  # fmt: skip
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -30,7 +30,7 @@
     assert machine is not None
     attempt = cluster.place(job, 0, cluster.next_number(), machine, seconds(1))
     assert cluster.orders_for(machine, seconds(1), full=True) == []  # not written down yet
-    cluster.recorded(machine, machine.wanted_record())
+    cluster.written("placed/7/0", list(machine.attempts.values()), seconds(1))
     assert cluster.orders_for(machine, seconds(1), full=False) == []
     orders = cluster.orders_for(machine, seconds(1), full=True)
     assert [(o.verb, o.task) for o in orders] == [(Verb.START, "req-1/0")]
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,183 @@
+"""Large deployments: the quick ways are held equal to plain ones, and counts guard the effort."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Sequence
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from micadeal.clock import seconds
+from micadeal.controller import plan
+from micadeal.controller.plan import Pass
+from micadeal.controller.records import Changes, Recorder
+from micadeal.fleet.offers import Offer
+from micadeal.jobs.model import Job
+from micadeal.placement.rooms import Room, ZoneRule, choose
+from micadeal.state.service import Limits
+from micadeal.wire.state import Drop, Put
+from micadeal.wire.users import Submission
+from tests.fakes.picture import Picture
+
+LIMITS = Limits(150, 25, 16, 8192)
+
+
+# -- the plain way -----------------------------------------------------------------------------
+
+
+class PlainPicker:
+    def __init__(self, plain: PlainPass, job: Job) -> None:
+        self.plain, self.job = plain, job
+
+    def best(self) -> Room | None:
+        rooms = self.plain.rooms
+        rule = self.plain._rule(self.job)
+        return choose(self.job.spec, rooms, rule, self.plain.spot_scarce)
+
+
+class PlainPass(Pass):
+    """Ranks every room for every task, in the order of the source."""
+
+    def _picker(self, job: Job) -> PlainPicker:  # type: ignore[override]
+        return PlainPicker(self, job)
+
+    def _open_rooms(self, job: Job) -> list[Room]:
+        return self.rooms
+
+
+def plain_gang(spec: Submission, rooms: Sequence[Room], batch: bool) -> list[Room] | None:
+    found: list[tuple[tuple[float, ...], list[Room]]] = []
+    zones = sorted({r.zone for r in rooms}) if spec.one_zone else [None]
+    for zone in zones:
+        chosen: list[Room] = []
+        rule = ZoneRule(spec)
+        for _ in range(spec.tasks):
+            room = choose(spec, [r for r in rooms if zone in (None, r.zone)], rule, batch)
+            if room is None:
+                break
+            room.book(spec)
+            rule.zones[room.zone] += 1
+            chosen.append(room)
+        if len(chosen) == spec.tasks:
+            stages = [2 if r.wish else 0 if r.up else 1 for r in chosen]
+            missing = sum(1 for r in chosen if spec.image not in r.images)
+            cost = (float(max(stages)), float(sum(1 for s in stages if s)), float(missing))
+            found.append((cost, chosen))
+        for room in chosen:
+            room.unbook(spec)
+    if not found:
+        return None
+    best = min(found, key=lambda entry: entry[0])[1]
+    for room in best:
+        room.book(spec)
+    return best
+
+
+def outcome(picture: Picture) -> tuple[object, ...]:
+    """Two passes with reports and ends between them; all that they decided."""
+    result: list[object] = []
+    for _ in range(3):
+        picture.scheduler.run_pass(picture.now)
+        decided = picture.scheduler.plan
+        result.append([(p.job_id, p.index, p.attempt) for p in decided.placed])
+        result.append(sorted((str(offer), n) for offer, n in decided.rentals.items()))
+        result.append(sorted(decided.held))
+        result.append({job.id: dict(job.reasons) for job in picture.cluster.live_jobs()})
+        recorder = Recorder(picture.cluster, LIMITS)
+        while batches := recorder.next(picture.now):
+            for batch in batches:
+                recorder.committed(batch, 1, picture.now)
+        picture.now += seconds(3)
+        for name in list(picture.cluster.machines)[:: 1 + picture.random.randrange(3)]:
+            picture.report(name)
+            picture.report(name, done=picture.random.randrange(2))
+        picture.submit()
+    where = sorted((a.task, a.number, m.name) for m in picture.cluster.machines.values()
+                   for a in m.attempts.values())  # fmt: skip
+    return (*result, where)
+
+
+@settings(derandomize=True, deadline=None, max_examples=25)
+@given(st.integers(0, 10_000), st.integers(0, 40), st.integers(1, 25), st.booleans())
+def test_the_quick_way_hands_out_as_the_plain_one(
+    seed: int, machines: int, jobs: int, scarce: bool
+) -> None:
+    """Guards the order of the source: ranking once, and remembering what found no room, must
+    change nothing of what is decided."""
+
+    def build() -> Picture:
+        picture = Picture(machines, jobs, seed)
+        if scarce:
+            for offer in [o for o in _offers(picture) if o.spot]:
+                picture.scheduler.market.refused(offer, 3, picture.now)
+        return picture
+
+    quick = outcome(build())
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr("micadeal.controller.scheduler.Pass", PlainPass)
+        patch.setattr(plan, "choose_gang", plain_gang)
+        plain = outcome(build())
+    assert quick == plain
+
+
+def _offers(picture: Picture) -> list[Offer]:
+    spec = picture.submit(spot_allowed=True, gpus=1.0, cpus=1.0, memory_gb=1.0).spec
+    return [offer for offer, _ in picture.scheduler.market.choices(spec, picture.now, Counter())]
+
+
+# -- effort ------------------------------------------------------------------------------------
+
+
+def test_a_pass_does_not_look_at_every_room_for_every_task() -> None:
+    picture = Picture(700, 200)
+    waiting = sum(job.waiting_count() for job in picture.cluster.live_jobs())
+    looked: list[int] = []
+
+    class Counting(Pass):
+        def run(self) -> plan.Plan:
+            result = super().run()
+            looked.append(self.looked_at)
+            return result
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr("micadeal.controller.scheduler.Pass", Counting)
+        picture.scheduler.run_pass(picture.now)
+        picture.scheduler.run_pass(picture.now)
+    # The plain way: one look for each task and room.
+    assert waiting > 3000
+    assert looked[0] < 200 * 700 and looked[1] < 100 * 700
+
+
+def write_all(recorder: Recorder, picture: Picture) -> list[Changes]:
+    written: list[Changes] = []
+    while batches := recorder.next(picture.now):
+        for batch in batches:
+            recorder.committed(batch, len(written) + 1, picture.now)
+            written.append(batch)
+    return written
+
+
+def test_a_burst_of_placements_takes_few_changes_and_none_is_left_behind() -> None:
+    """Guards the limit on changes: a record for each machine took seconds for a large array."""
+    picture = Picture(400, 60)
+    recorder = Recorder(picture.cluster, LIMITS)
+    picture.scheduler.run_pass(picture.now)
+    placed = len(picture.scheduler.plan.placed)
+    written = [b for b in write_all(recorder, picture) if b.placed]
+    assert placed > 400
+    assert sum(len(batch.operations) for batch in written) <= placed / 40
+    assert all(a.durable for m in picture.cluster.machines.values() for a in m.attempts.values())
+    # As tasks end, records are dropped or merged: what is left names what is left.
+    kept: set[str] = {op.key for b in written for op in b.operations}
+    for _ in range(40):
+        for name in picture.cluster.machines:
+            picture.report(name, done=1)
+            picture.report(name)
+        picture.now += seconds(5)
+        for batch in write_all(recorder, picture):
+            kept |= {op.key for op in batch.operations if isinstance(op, Put)}
+            kept -= {op.key for op in batch.operations if isinstance(op, Drop)}
+    left = {a.record for m in picture.cluster.machines.values() for a in m.attempts.values()}
+    assert {key for key in kept if key.startswith("placed/")} == left
