--- a/micadeal/controller/dispatcher.py
+++ b/micadeal/controller/dispatcher.py
@@ -13,6 +13,7 @@
 from micadeal.actor import Actor, Overloaded
 from micadeal.clock import ZERO, seconds, sleep, steady, wall
 from micadeal.controller.cluster import Cluster, HigherToken
+from micadeal.controller.effort import Effort
 from micadeal.controller.records import IMAGES, PLACED, Changes, Recorder
 from micadeal.controller.scheduler import Scheduler
 from micadeal.fleet.cloud import LIST_EVERY, Cloud, CloudError, NoCapacity
@@ -47,6 +48,8 @@
 TICK = timedelta(milliseconds=250)
 #: Changes that come within this time share a pass.
 PASS_EVERY = timedelta(milliseconds=100)
+#: Past this a pass comes before the messages that wait: else a flood would stop all placing.
+PASS_PATIENCE = seconds(1)
 WATCH_HOLD = timedelta(seconds=2)
 DIRECT_TIME = seconds(3)
 #: Direct commands under way at once.
@@ -205,6 +208,7 @@
         if types:
             self._scheduler.set_catalog(types)
         self._recorder = Recorder(self._cluster, state.limits)
+        self._effort = Effort(now)
         self._pass_due = ZERO
         self._loaded = False
         self._releasing = False
@@ -248,22 +252,50 @@
     # -- messages --------------------------------------------------------------------------
 
     async def receive(self, message: Any) -> Any:
+        began = steady()
         result = self._take(message)
+        now = steady()
+        self._effort.add("reports" if isinstance(message, ReportIn) else "messages", now - began)
         if self._loaded and self._power() is Power.FULL:
-            now = steady()
             if isinstance(message, Tick):
                 self._scheduler.tick(now)
-            if now >= self._pass_due and self._mail.empty() and self._scheduler.wants_pass(now):
+                self._log_effort(now)
+                now = self._spent("clock", now)
+            if self._pass_is_due(now):
                 self._scheduler.run_pass(now)
+                ended = self._spent("passes", now)
                 # Passes take a share of the processor at most, however long one takes: reports
                 # must be answered meanwhile, or leases run out.
-                spent = steady() - now
-                self._pass_due = now + max(PASS_EVERY, spent * 4)
+                self._pass_due = ended + max(PASS_EVERY, (ended - now) * 3)
+                now = ended
             await self._act()
+            self._spent("sending", now)
         elif self._loaded:
             await self._send_stops()
         return result
 
+    def _pass_is_due(self, now: timedelta) -> bool:
+        """Reports that wait are taken in before a pass, but not for ever."""
+        if now < self._pass_due or not self._scheduler.wants_pass(now):
+            return False
+        return self._mail.empty() or now >= self._pass_due + PASS_PATIENCE
+
+    def _spent(self, part: str, began: timedelta) -> timedelta:
+        now = steady()
+        self._effort.add(part, now - began)
+        return now
+
+    def _log_effort(self, now: timedelta) -> None:
+        line = self._effort.line(now)
+        if line is not None:
+            log.info(
+                "%s; now %d messages wait, %d placements and %d ends to be written",
+                line,
+                self._mail.qsize(),
+                len(self._cluster.unwritten),
+                len(self._cluster.finished_dirty),
+            )
+
     def _take(self, message: Any) -> Any:
         now = steady()
         scheduler = self._scheduler
@@ -384,10 +416,12 @@
         scheduler = self._scheduler
         await self._send_stops()
         for changes in self._recorder.next(steady()):
+            self._effort.add("changes asked for", times=len(changes.operations))
             await self._spawn(self._write, changes)
         for request in list(scheduler.rentals.values()):
             if request.request not in self._renting:
                 self._renting.add(request.request)
+                self._effort.add("rentals")
                 await self._spawn(self._rent, request)
         if scheduler.releases and not self._releasing:
             self._releasing = True
--- /dev/null
+++ b/tests/test_records.py
@@ -0,0 +1,127 @@
+"""Records of placements: what the state service holds always names all that may be on a machine,
+whatever becomes of a transaction."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import pytest
+
+from micadeal.clock import seconds
+from micadeal.controller.records import Changes, Recorder
+from micadeal.state.service import Limits
+from micadeal.wire.codec import convert, decode, encode
+from micadeal.wire.state import Item, MachineRecord, PlacedRecord, PlacedTask, Put
+from tests.fakes.picture import Picture
+from tests.fakes.world import World
+
+LIMITS = Limits(150, 60, 16, 2048)
+
+
+@dataclass
+class Store:
+    """The state service as far as the recorder's transactions go."""
+
+    keys: dict[str, Item] = field(default_factory=dict)
+    revision: int = 100
+
+    def apply(self, changes: Changes) -> int | None:
+        for condition in changes.conditions:
+            found = self.keys.get(condition.key)
+            if (found.version if found else 0) != condition.version:
+                return None
+        self.revision += 1
+        for operation in changes.operations:
+            if isinstance(operation, Put):
+                value = decode(dict, encode(operation.value))
+                self.keys[operation.key] = Item(operation.key, value, self.revision)
+            else:
+                del self.keys[operation.key]
+        return self.revision
+
+    def read(self, changes: Changes) -> dict[str, Item | None]:
+        return {c.key: self.keys.get(c.key) for c in changes.conditions}
+
+    def named(self) -> set[tuple[str, str, int, int]]:
+        return {
+            (entry.name, task.job_id, task.index, task.attempt)
+            for key, item in self.keys.items()
+            if key.startswith("placed/")
+            for entry in convert(PlacedRecord, item.value).machines
+            for task in entry.tasks
+        }
+
+
+def started(picture: Picture) -> set[tuple[str, str, int, int]]:
+    """What may be on a machine: written down, so its start may have been ordered."""
+    return {
+        (name, a.job_id, a.index, a.number)
+        for name, machine in picture.cluster.machines.items()
+        for a in machine.attempts.values()
+        if a.ordered is not None
+    }
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_whatever_becomes_of_a_write_what_was_started_is_named(seed: int) -> None:
+    """Guards ``ran_twice`` after a change of leaders: transactions are applied, refused, or get
+    lost with their answer and are applied later or never, those that merge records among them."""
+    picture = Picture(30, 8, seed)
+    recorder, store = Recorder(picture.cluster, LIMITS), Store()
+    late: list[Changes] = []
+    for _ in range(120):
+        picture.scheduler.run_pass(picture.now)
+        for batch in recorder.next(picture.now):
+            fate = picture.random.choice(["applied", "applied", "unanswered", "late", "never"])
+            revision = None if fate in ("late", "never") else store.apply(batch)
+            if fate == "late":
+                late.append(batch)
+            if fate == "applied" and revision is not None:
+                recorder.committed(batch, revision, picture.now)
+            else:
+                recorder.failed(batch, store.read(batch), picture.now)
+            assert started(picture) <= store.named()
+        if late and picture.random.random() < 0.4:
+            store.apply(late.pop(picture.random.randrange(len(late))))
+        picture.now += seconds(1)
+        for name in picture.cluster.machines:
+            picture.report(name, done=picture.random.random() < 0.1)
+        if picture.random.random() < 0.2:
+            picture.submit()
+        assert started(picture) <= store.named()
+    assert len(started(picture)) > 10
+
+
+def test_records_of_the_earlier_layout_are_taken_over_and_replaced(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards ``ran_twice`` after an upgrade: what an earlier version wrote down counts."""
+
+    async def story(world: World) -> None:
+        service = await world.run_job("daemon", 2, rank="production", image_gb=0.1)
+        await world.until(lambda: world.running(service) == 2)
+        leader = world.leader()
+        assert leader is not None
+        for number in range(3):
+            world.crash(number)
+        by_machine: dict[str, MachineRecord] = {}
+        for key in [key for key in world.state.keys if key.startswith("placed/")]:
+            for m in convert(PlacedRecord, world.state.keys.pop(key)[0]).machines:
+                old = by_machine.setdefault(
+                    m.name, MachineRecord(m.machine_type, m.zone, m.spot, m.address, m.session, [])
+                )
+                old.tasks += [PlacedTask(t.job_id, t.index, t.attempt) for t in m.tasks]
+        for name, record in by_machine.items():
+            world.state.keys[f"machine/{name}"] = (decode(dict, encode(record)), 5, None)
+        world.state.keys["machine/broken"] = ({"tasks": 7}, 6, None)
+        for number in range(3):
+            await world.start(number)
+        await world.until(lambda: world.leader() is not None, limit=10)
+        await world.run_job("array", 1, run_s=5.0)
+        assert await world.cancel(service) == "cancelled"
+        await world.until(
+            lambda: not any(k.startswith("machine/i-") for k in world.state.keys), limit=60
+        )
+
+    world = World().play(monkeypatch, story)
+    assert all(count == 1 for count in world.starts.values())
