--- a/micadeal/controller/plan.py
+++ b/micadeal/controller/plan.py
@@ -12,6 +12,7 @@
 from datetime import timedelta
 
 from micadeal.controller.cluster import Cluster
+from micadeal.controller.delay import Delay
 from micadeal.fleet.model import Attempt, Machine, MachineShape
 from micadeal.fleet.offers import Market, Offer
 from micadeal.jobs.model import Job
@@ -35,6 +36,7 @@
 from micadeal.wire.users import Submission
 
 RESOURCES = ("gpus", "cpus")
+WAITS_FOR_IMAGE = "waits a little for a machine that holds its image"
 #: New machines wished for in one pass, however much waits.
 MOST_WISHES = 200
 #: Tasks for which victims are chosen in one pass; the next pass goes on.
@@ -238,6 +240,7 @@
         #: Counts what may open ordinary machines to batch: see ``ZoneRule`` and ``choose``.
         self._shared = 0
         self._rules: dict[str, ZoneRule] = {}
+        self._delay = Delay(cluster, now)
         self.virtual: Counter[str] = Counter()
         #: Rooms looked at one by one, over the whole pass.
         self.looked_at = 0
@@ -434,6 +437,9 @@
             return 0.0
         picker = self._picker(job)
         room = picker.best() if picker is not None else None
+        if room is not None and room.up and self._delay.passes(job, waiting, room):
+            job.reasons[WAITS_FOR_IMAGE] += waiting
+            return 0.0
         if room is None:
             room = self._wish(job.spec, self._rule(job))
         if room is None:
@@ -469,6 +475,8 @@
         index = job.next_waiting()
         if room.up and index is not None:
             machine = self.cluster.machines[room.name]
+            if job.spec.image in room.images:
+                job.passed_since = None
             attempt = self.cluster.place(
                 job, index, number or self.cluster.next_number(), machine, self.now
             )
@@ -493,6 +501,11 @@
         if job.errors or self._nothing.get(size) != (len(self.rooms), self._shared):
             self.looked_at += len(rooms)
             found = choose_gang(spec, rooms, self.spot_scarce)
+            if found is not None and self._gang_passes(job, found):
+                for room in found:
+                    room.unbook(spec)
+                job.reasons[WAITS_FOR_IMAGE] += spec.tasks
+                return 0.0
         if found is None:
             self._nothing[size] = (len(self.rooms), self._shared)
             wishes = self._gang_wishes(spec)
@@ -519,6 +532,16 @@
             self.unplaced.append(job)
         return job.units * spec.tasks
 
+    def _gang_passes(self, job: Job, found: list[Room]) -> bool:
+        """A gang waits for its slowest fetch, and all its room must come free in one place."""
+        if not all(room.up for room in found):
+            return False
+        fetches = [room for room in found if job.spec.image not in room.images]
+        if not fetches:
+            return False
+        places = len(self.present) if job.spec.one_zone and job.spec.tasks > 1 else 1
+        return self._delay.passes(job, len(fetches) * places, fetches[0])
+
     # -- renting ---------------------------------------------------------------------------
 
     def _new_room(self, offer: Offer, kind: MachineType) -> Room:
--- a/micadeal/jobs/model.py
+++ b/micadeal/jobs/model.py
@@ -37,6 +37,8 @@
     errors: Counter[str] = field(default_factory=Counter)
     retry_at: timedelta = timedelta.min
     last_progress: timedelta = ZERO
+    #: Since when it passes on machines without its image; None: it last started on one with it.
+    passed_since: timedelta | None = None
     reasons: Counter[str] = field(default_factory=Counter)
     _fresh: int = 0
     _returned: list[int] = field(default_factory=list)
