--- a/micadeal/controller/delay.py
+++ b/micadeal/controller/delay.py
@@ -1,8 +1,8 @@
 """Delay scheduling (source, 3.7 and 4.8): a job passes on a machine that would have to fetch its
 image, if one that holds it is likely to have room soon.
 
-The data of the source is the image here.  The source waits for a fixed time; here it follows
-from what is at stake, the fetch, and a job waits only as far as tasks that are likely to end in that
+The data of the source is the image here.  The source waits for a fixed time; here it follows from
+what is at stake, the fetch, and a job waits only as far as tasks that are likely to end in that
 time leave room for it.  On a small cluster that is hardly ever so, on a large one nearly always.
 """
 
--- a/micadeal/controller/scheduler.py
+++ b/micadeal/controller/scheduler.py
@@ -40,15 +40,17 @@
 #: How often the log gets a line on machines and tasks.
 LINE_EVERY = seconds(15)
 MOST_CLASSES = 100
-#: Times of arrivals kept per class.
+#: Arrivals kept per class, and how far back they count.
 ARRIVALS = 40
+ARRIVAL_WINDOW = seconds(180)
 
 
 @dataclass(slots=True)
 class Arrivals:
     """When jobs of a class came, and what the last of them looked like."""
 
-    times: deque[timedelta] = field(default_factory=lambda: deque(maxlen=ARRIVALS))
+    #: When, and how many tasks.
+    times: deque[tuple[timedelta, int]] = field(default_factory=lambda: deque(maxlen=ARRIVALS))
     spec: Submission | None = None
     images: deque[str] = field(default_factory=lambda: deque(maxlen=ARRIVALS))
 
@@ -97,7 +99,7 @@
         if len(self._arrivals) > MOST_CLASSES:
             # Class names are the users' choice: the one that came least lately goes.
             del self._arrivals[next(iter(self._arrivals))]
-        arrivals.times.append(max(job.submitted, now - seconds(600)))
+        arrivals.times.append((max(job.submitted, now - seconds(600)), job.spec.tasks))
         arrivals.spec = job.spec
         arrivals.images.append(job.spec.image)
 
@@ -265,10 +267,13 @@
 
     def _likely(self, arrivals: Arrivals, now: timedelta, boot_s: float) -> int:
         """Tasks that may well come while a machine boots; one at least."""
-        window = 180.0
-        recent = [t for t in arrivals.times if (now - t).total_seconds() <= window]
-        mean = len(recent) / window * boot_s * 1.5
-        return max(1, math.ceil(mean))
+        recent = [entry for entry in arrivals.times if now - entry[0] <= ARRIVAL_WINDOW]
+        window = ARRIVAL_WINDOW
+        if len(recent) == ARRIVALS:
+            # More came than are remembered: they tell of the time since the first of them.
+            window = max(now - recent[0][0], seconds(1))
+        rate = sum(tasks for _, tasks in recent) / window.total_seconds()
+        return max(1, math.ceil(rate * boot_s * 1.5))
 
     # -- machines --------------------------------------------------------------------------
 
