--- a/micadeal/cli/show.py
+++ b/micadeal/cli/show.py
@@ -77,6 +77,9 @@
             f"{job['reason']}"
             for job in answer["stuck"]
         ]
+        more = answer.get("stuck_in_all", 0) - len(answer["stuck"])
+        if more > 0:
+            lines.append(f"  and {more} more, stuck for less long")
     if answer["notes"]:
         lines += ["", "notes:"] + [f"  {note}" for note in answer["notes"]]
     return "\n".join(lines)
--- a/micadeal/operator/answers.py
+++ b/micadeal/operator/answers.py
@@ -14,6 +14,8 @@
 #: A job that has waited this long with nothing started, or fails again and again, is stuck.
 STUCK_AFTER = seconds(60)
 MOST_STUCK = 20
+#: Machines named in one note.
+MOST_NAMED = 5
 
 
 def why(scheduler: Scheduler, job_id: str, now: timedelta) -> WhyAnswer | None:
@@ -68,6 +70,7 @@
 
 def overview(scheduler: Scheduler, leader: str, now: timedelta, contact: bool) -> Overview:
     cluster = scheduler.cluster
+    stuck, stuck_in_all = _stuck(scheduler, now)
     return Overview(
         leader,
         cluster.token,
@@ -75,9 +78,10 @@
         contact,
         _teams(scheduler),
         dict(scheduler.state_counts()),
-        _stuck(scheduler, now),
+        stuck,
         _machines(scheduler, now),
         _notes(scheduler, now),
+        stuck_in_all,
     )
 
 
@@ -110,20 +114,23 @@
     return lines
 
 
-def _stuck(scheduler: Scheduler, now: timedelta) -> list[StuckJob]:
-    found: list[StuckJob] = []
+def _stuck(scheduler: Scheduler, now: timedelta) -> tuple[list[StuckJob], int]:
+    """The jobs stuck longest, and how many are stuck in all."""
+    found: list[tuple[timedelta, Job]] = []
     for job in scheduler.cluster.live_jobs():
         waited = now - max(job.submitted, job.last_progress)
         failing = sum(job.errors.values()) > 2
-        if not failing and (waited < STUCK_AFTER or job.attempts or not job.waiting_count()):
-            continue
+        if failing or (waited >= STUCK_AFTER and not job.attempts and job.waiting_count()):
+            found.append((waited, job))
+    found.sort(key=lambda entry: (-entry[0], entry[1].id))
+    lines: list[StuckJob] = []
+    for waited, job in found[:MOST_STUCK]:
         reasons = _reasons(scheduler, job, now)
         text = reasons[0][0] if reasons else "not looked at yet"
-        found.append(
+        lines.append(
             StuckJob(job.id, job.spec.team, job.spec.job_class, waited.total_seconds(), text)
         )
-    found.sort(key=lambda entry: -entry.waiting_s)
-    return found[:MOST_STUCK]
+    return lines, len(found)
 
 
 def _machines(scheduler: Scheduler, now: timedelta) -> list[MachineLine]:
@@ -158,9 +165,22 @@
     for offer in scheduler.market.any_paused(now):
         kind = "spot" if offer.spot else "ordinary"
         notes.append(f"the cloud refused {offer.machine_type} ({kind}) in {offer.zone} lately")
+    faulty: list[str] = []
+    taken: list[str] = []
     for machine in scheduler.cluster.machines.values():
         if machine.leaving == "faulty":
-            notes.append(f"{machine.name} failed tasks of several jobs and is being emptied")
+            faulty.append(machine.name)
         elif machine.notice_end is not None:
-            notes.append(f"{machine.name} is about to be taken by the cloud")
+            taken.append(machine.name)
+    if faulty:
+        notes.append(f"failed tasks of several jobs and are being emptied: {_named(faulty)}")
+    if taken:
+        notes.append(f"about to be taken by the cloud: {_named(taken)}")
     return sorted(notes)
+
+
+def _named(machines: list[str]) -> str:
+    """A few names and a count: a wave takes dozens at once."""
+    names = ", ".join(sorted(machines)[:MOST_NAMED])
+    more = len(machines) - MOST_NAMED
+    return f"{names} and {more} more" if more > 0 else names
--- a/micadeal/wire/mesh.py
+++ b/micadeal/wire/mesh.py
@@ -111,3 +111,5 @@
     stuck: list[StuckJob]
     machines: list[MachineLine]
     notes: list[str]
+    # ``stuck`` names only the longest stuck of so many.
+    stuck_in_all: int = 0
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -9,14 +9,17 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from micadeal.cli.show import show_overview
 from micadeal.clock import seconds
 from micadeal.controller import plan
 from micadeal.controller.plan import Pass
 from micadeal.controller.records import Changes, Recorder
 from micadeal.fleet.offers import Offer
 from micadeal.jobs.model import Job
+from micadeal.operator import answers
 from micadeal.placement.rooms import Room, ZoneRule, choose
 from micadeal.state.service import Limits
+from micadeal.wire.codec import decode, encode
 from micadeal.wire.state import Drop, Put
 from micadeal.wire.users import Submission
 from tests.fakes.picture import Picture
@@ -181,3 +184,25 @@
             kept -= {op.key for op in batch.operations if isinstance(op, Drop)}
     left = {a.record for m in picture.cluster.machines.values() for a in m.attempts.values()}
     assert {key for key in kept if key.startswith("placed/")} == left
+
+
+def test_the_overview_of_a_large_deployment_in_trouble_stays_readable() -> None:
+    """Guards the morning status: the longest stuck first, with counts instead of endless lists."""
+    picture = Picture(300, 0)
+    for name in list(picture.cluster.machines)[:200]:
+        picture.cluster.machines[name].notice_end = picture.now + seconds(20)
+    for number in range(150):
+        picture.now += seconds(0.1)
+        picture.submit(tasks=1, gpus=2.0, cpus=16.0, zone="north", image=f"img-{number}")
+    for offer in _offers(picture):
+        picture.scheduler.market.refused(offer, 0, picture.now + seconds(85))
+    picture.now += seconds(90)
+    picture.scheduler.run_pass(picture.now)
+    found = answers.overview(picture.scheduler, "c0", picture.now, contact=True)
+    text = show_overview(decode(dict, encode(found)))
+    waits = [job.waiting_s for job in found.stuck]
+    assert waits == sorted(waits, reverse=True) and len(waits) == 20
+    assert found.stuck_in_all > 50
+    assert f"and {found.stuck_in_all - 20} more" in text
+    assert "about to be taken by the cloud: i-000000" in text and "and 195 more" in text
+    assert len(text.splitlines()) < 60
