--- a/micadeal/controller/plan.py
+++ b/micadeal/controller/plan.py
@@ -457,6 +457,8 @@
 
     def _filled(self, room: Room, spec: Submission) -> None:
         """Something was booked into the room: it may rank better with others now."""
+        if spec.image not in room.images:
+            room.fetching |= {spec.image}
         if not spec.spot_allowed and not room.spot:
             self._shared += 1
         for picker in self._pickers.values():
--- a/micadeal/controller/scheduler.py
+++ b/micadeal/controller/scheduler.py
@@ -99,7 +99,9 @@
         if len(self._arrivals) > MOST_CLASSES:
             # Class names are the users' choice: the one that came least lately goes.
             del self._arrivals[next(iter(self._arrivals))]
-        arrivals.times.append((max(job.submitted, now - seconds(600)), job.spec.tasks))
+        # A gang needs all its room at once: what is kept is for the small ones, one task each.
+        tasks = 1 if job.is_gang else job.spec.tasks
+        arrivals.times.append((max(job.submitted, now - seconds(600)), tasks))
         arrivals.spec = job.spec
         arrivals.images.append(job.spec.image)
 
--- a/micadeal/placement/rooms.py
+++ b/micadeal/placement/rooms.py
@@ -121,10 +121,18 @@
     """Smaller is better.
 
     Up before booting before wished; spot for what may use it, since it is cheaper and leaves the
-    ordinary machines to what must have them; the image there already; zones with fewer tasks of
-    the job; then the fullest machine, so that others can empty and be returned.
+    ordinary machines to what must have them; the image there already, or being fetched, or nothing
+    else being fetched; zones with fewer tasks of the job; then the fullest machine, so that others
+    can empty and be returned.
     """
-    image = 0 if spec.image in room.images else 1 if spec.image in room.fetching else 2
+    if spec.image in room.images:
+        image = 0
+    elif spec.image in room.fetching:
+        image = 1
+    else:
+        # Fetches of several images on one machine share its rate: each takes longer.  That is no
+        # reason to rent more machines.
+        image = 2 + len(room.fetching) if room.up else 2
     kind = 0 if room.spot or not spec.spot_allowed else 1
     stage = 2 if room.wish else 0 if room.up else 1
     # What runs until it is cancelled pays for the empty rest of its machine all the time: it
