--- a/micadeal/controller/scheduler.py
+++ b/micadeal/controller/scheduler.py
@@ -41,8 +41,8 @@
 LINE_EVERY = seconds(15)
 MOST_CLASSES = 100
 #: Arrivals kept per class, and how far back they count.
-ARRIVALS = 40
-ARRIVAL_WINDOW = seconds(180)
+ARRIVALS = 100
+ARRIVAL_WINDOWS = (seconds(60), seconds(180))
 
 
 @dataclass(slots=True)
@@ -54,6 +54,14 @@
     spec: Submission | None = None
     images: deque[str] = field(default_factory=lambda: deque(maxlen=ARRIVALS))
 
+    def rate(self, now: timedelta, window: timedelta) -> float:
+        """Tasks per second within the window."""
+        if len(self.times) == ARRIVALS:
+            # More came than are remembered: they tell of the time since the first of them.
+            window = max(min(window, now - self.times[0][0]), seconds(1))
+        tasks = sum(count for at, count in self.times if now - at <= window)
+        return tasks / window.total_seconds()
+
 
 class Scheduler:
     """One term's decisions.  ``tick`` is called often, ``run_pass`` when it is wanted."""
@@ -269,12 +277,8 @@
 
     def _likely(self, arrivals: Arrivals, now: timedelta, boot_s: float) -> int:
         """Tasks that may well come while a machine boots; one at least."""
-        recent = [entry for entry in arrivals.times if now - entry[0] <= ARRIVAL_WINDOW]
-        window = ARRIVAL_WINDOW
-        if len(recent) == ARRIVALS:
-            # More came than are remembered: they tell of the time since the first of them.
-            window = max(now - recent[0][0], seconds(1))
-        rate = sum(tasks for _, tasks in recent) / window.total_seconds()
+        # A burst is not taken for a rate: the lower one of a long and a short window counts.
+        rate = min(arrivals.rate(now, window) for window in ARRIVAL_WINDOWS)
         return max(1, math.ceil(rate * boot_s * 1.5))
 
     # -- machines --------------------------------------------------------------------------
