Controllers stay ready in an outage all share; who is refused comes over a new connection

One that lost touch two seconds before its peers called itself not ready, and the balancer keeps it out for 3 s and more, doubled each time.

--- a/micadeal/controller/node.py
+++ b/micadeal/controller/node.py
@@ -45,6 +45,10 @@
 #: Without an answer of the state service for this long, a controller whose peers have one is of
 #: no use to users.
 CONTACT_TIME = seconds(5)
+#: What a peer's touch with it must not be older than.  Controllers lose touch up to two seconds
+#: apart in an outage that all share (the hold of an idle one's watch); with a longer time the first
+#: would drop out, and the balancer would keep it out after the outage is over.
+PEER_CONTACT_TIME = seconds(2.5)
 RETRY = seconds(1)
 
 
@@ -193,7 +197,7 @@
         if contact is not None and now - contact < CONTACT_TIME:
             return answer(200, {"ready": True})
         elsewhere = self._mesh.latest_state_contact()
-        if elsewhere is not None and now - elsewhere < CONTACT_TIME:
+        if elsewhere is not None and now - elsewhere < PEER_CONTACT_TIME:
             return error(503, "no touch with the state service")
         return answer(200, {"ready": True})
 
--- a/micadeal/http/server.py
+++ b/micadeal/http/server.py
@@ -98,7 +98,9 @@
             except Exception:
                 log.exception("a request failed")
                 reply = error(500, "internal error")
-            close = self._http.their_state is not h11.DONE
+            # Who is told to come back later comes over a new connection: the balancer may then
+            # choose a controller that can do more.
+            close = self._http.their_state is not h11.DONE or reply.status == 503
             await self._write(reply, close)
             if close or self._http.our_state is h11.MUST_CLOSE:
                 return
--- a/micadeal/state/service.py
+++ b/micadeal/state/service.py
@@ -35,6 +35,8 @@
 REQUEST_TIME = timedelta(seconds=2)
 #: How long a user's request may wait for room in our share of the rate limits.
 USER_PATIENCE = timedelta(milliseconds=300)
+#: After a silence of this length the service can't be reached from here.
+SILENCE = timedelta(seconds=2.5)
 PAGE = 500
 
 
@@ -125,6 +127,8 @@
     ) -> tuple[int, bytes]:
         # A user is told at once when to come back instead of being held.
         patience = USER_PATIENCE if urgency is Urgency.USER else timeout
+        if urgency is Urgency.USER and self._silent():
+            timeout = min(timeout, USER_PATIENCE)
         await self._pay(changes, urgency, steady() + patience)
         try:
             status, answer = await (client or self._client).request(
@@ -144,6 +148,10 @@
         self._answered = steady()
         return status, answer
 
+    def _silent(self) -> bool:
+        """Nothing was answered for longer than the watches hold: users had better go elsewhere."""
+        return self._answered is not None and steady() - self._answered > SILENCE
+
     async def get(self, key: str, urgency: Urgency = Urgency.USER) -> Item | None:
         status, body = await self._request("GET", f"/keys/{quote(key)}", urgency=urgency)
         if status == 404:
--- a/tests/test_users.py
+++ b/tests/test_users.py
@@ -179,3 +179,22 @@
         assert await world.status(job, 1) == "done"
 
     World().play(monkeypatch, story)
+
+
+def test_controllers_stay_ready_in_an_outage_that_all_share(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards submissions after an outage: they lose touch some seconds apart, and the first must
+    not drop out, since the balancer would keep it out for longer than the outage lasts."""
+
+    async def story(world: World) -> None:
+        for tenths in range(0, 20, 3):
+            await curio.sleep(6 + tenths / 10)
+            world.state.outage = True
+            for _ in range(40):
+                for number in range(3):
+                    assert (await world.call(number, "GET", "/ready"))[0] == 200
+                await curio.sleep(0.25)
+            world.state.outage = False
+
+    World().play(monkeypatch, story)
