--- a/micadeal/controller/scheduler.py
+++ b/micadeal/controller/scheduler.py
@@ -11,8 +11,8 @@
 
 from micadeal.clock import ZERO, seconds
 from micadeal.controller.cluster import Cluster, grace_to_save
-from micadeal.controller.plan import Expected, Pass, Plan
-from micadeal.fleet.model import Machine
+from micadeal.controller.plan import SILENT_REPORTS, Expected, Pass, Plan
+from micadeal.fleet.model import Attempt, Machine
 from micadeal.fleet.offers import Market, Offer
 from micadeal.jobs.model import Job
 from micadeal.operator.platform import Objective
@@ -35,6 +35,8 @@
 BOOT_PATIENCE = 3.0
 #: A silent machine is given back when its lease and this have passed.
 SILENT_PATIENCE = seconds(45)
+#: A machine whose announced end has passed is taken to be gone after so many report intervals.
+TAKEN_REPORTS = 1.5
 #: How long after taking over renting waits for machines that have not reported yet.
 COUNTING_TIME = seconds(4)
 #: How often the log gets a line on machines and tasks.
@@ -63,6 +65,13 @@
         return tasks / window.total_seconds()
 
 
+def _ends_within(job: Job, attempt: Attempt, left: timedelta, now: timedelta) -> bool:
+    """Whether a task is likely to be done by then, as far as its owner's estimate tells."""
+    if attempt.running_since is None or job.is_service:
+        return False
+    return attempt.running_since + seconds(job.spec.estimate_s) <= now + left
+
+
 class Scheduler:
     """One term's decisions.  ``tick`` is called often, ``run_pass`` when it is wanted."""
 
@@ -284,20 +293,26 @@
     # -- machines --------------------------------------------------------------------------
 
     def _drain(self, now: timedelta) -> None:
-        """Tasks on machines that are about to be taken save while there is time."""
+        """Tasks on machines that are about to be taken save while there is time.
+
+        What can't save, nor end before, is stopped at once: its work is lost in any case, and so
+        it starts elsewhere sooner.
+        """
         for machine in list(self.cluster.machines.values()):
             if machine.notice_end is None:
                 continue
+            left = machine.notice_end - now
             for attempt in list(machine.attempts.values()):
                 job = self.cluster.jobs[attempt.job_id]
-                if attempt.stop is not None or not job.can_save:
+                if attempt.stop is not None or job.over:
                     continue
-                if machine.notice_end - now < job.save_time:
-                    continue
-                if job.is_gang:
-                    self.cluster.stop_job(job, now, save=True)
-                else:
-                    self.cluster.stop(attempt, grace_to_save(job), now)
+                if job.can_save and left >= job.save_time:
+                    if job.is_gang:
+                        self.cluster.stop_job(job, now, save=True)
+                    else:
+                        self.cluster.stop(attempt, grace_to_save(job), now)
+                elif not job.is_gang and not _ends_within(job, attempt, left, now):
+                    self.cluster.stop(attempt, ZERO, now)
 
     def _look_after_machines(self, now: timedelta) -> None:
         silence = self.cluster.lease_over
@@ -339,6 +354,8 @@
                 return "it is not listed any more"
             patience = seconds(kind.boot_s if kind else 60.0) * BOOT_PATIENCE
             return "it does not boot" if machine.age(now) > patience else None
+        if machine.heard is not None and self._surely_gone(machine, now - machine.heard, now):
+            return "it was taken"
         if machine.heard is None or now - machine.heard > silence:
             quiet = now - (machine.heard or machine.up_since or now)
             if machine.missing_lists > 3 or quiet > silence + SILENT_PATIENCE:
@@ -368,6 +385,15 @@
             return "it is idle"
         return None
 
+    def _surely_gone(self, machine: Machine, quiet: timedelta, now: timedelta) -> bool:
+        """Whether a silent machine is so likely to be gone that asking the cloud for its end beats
+        waiting for its lease: the answer makes it certain, and its tasks start elsewhere sooner.
+        """
+        report = self.cluster.workers.report
+        if machine.notice_end is not None and now > machine.notice_end:
+            return quiet > report * TAKEN_REPORTS
+        return machine.missing_lists > 1 and quiet > report * SILENT_REPORTS
+
     # -- what others are told --------------------------------------------------------------
 
     def counts(self, most: int = 2000) -> list[Counts]:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -478,3 +478,50 @@
         assert world.running(service) == 1
 
     World().play(monkeypatch, story)
+
+
+@pytest.mark.parametrize(("notice", "limit"), [(4.0, 10), (None, 14)])
+def test_work_of_a_taken_machine_moves_before_its_lease_is_over(
+    monkeypatch: pytest.MonkeyPatch, notice: float | None, limit: float
+) -> None:
+    """Guards against waiting for a lease of 14 s on a machine that was announced to go, or that
+    the cloud lists no more: the cloud's word on its end is certain."""
+
+    async def story(world: World) -> None:
+        # By its owner's estimate it would be done before the machine goes, so it stays.
+        job = await world.run_job("array", 1, run_s=60.0, expect_s=1.0, loaners=True, image_gb=0.5)
+        await world.until(lambda: world.running(job) == 1)
+        await curio.sleep(15)
+        worker, _ = world.held(job)[0]
+        if notice is not None:
+            worker.notice_end = steady().total_seconds() + notice
+            await curio.sleep(notice)
+        world.cloud.take(worker.name)
+        assert await world.until(lambda: world.running(job) == 1, limit=60) < limit
+        await world.until_done(job)
+
+    World(boot_s=2.0).play(monkeypatch, story)
+
+
+def test_what_can_neither_save_nor_end_leaves_a_machine_that_is_to_be_taken(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def story(world: World) -> None:
+        long = await world.run_job("array", 1, run_s=90.0, loaners=True, expect_s=90.0)
+        short = await world.run_job("array", 1, run_s=20.0, loaners=True, expect_s=20.0)
+        await world.until(lambda: world.running(long) == 1 and world.running(short) == 1)
+        worker, _ = world.held(long)[0]
+        assert world.held(short)[0][0] is worker
+        await curio.sleep(5)
+        worker.notice_end = steady().total_seconds() + 25
+        await curio.sleep(8)
+        # The long one is on its way elsewhere, the short one goes on and ends in time.
+        assert all(w is not worker for w, _ in world.held(long))
+        assert world.running(short) == 1
+        await world.until(lambda: world.running(long) == 1, limit=12)
+        await world.until_done(short)
+        world.cloud.take(worker.name)
+        await world.until_done(long)
+
+    world = World(boot_s=4.0).play(monkeypatch, story)
+    assert sorted(world.starts.values()) == [1, 2]
