--- a/micadeal/controller/scheduler.py
+++ b/micadeal/controller/scheduler.py
@@ -44,7 +44,7 @@
 MOST_CLASSES = 100
 #: Arrivals kept per class, and how far back they count.
 ARRIVALS = 100
-ARRIVAL_WINDOWS = (seconds(60), seconds(180))
+ARRIVAL_WINDOWS = (seconds(60), seconds(120), seconds(180))
 
 
 @dataclass(slots=True)
@@ -116,8 +116,10 @@
         if len(self._arrivals) > MOST_CLASSES:
             # Class names are the users' choice: the one that came least lately goes.
             del self._arrivals[next(iter(self._arrivals))]
-        # A gang needs all its room at once: what is kept is for the small ones, one task each.
-        tasks = 1 if job.is_gang else job.spec.tasks
+        tasks = job.spec.tasks
+        if job.is_gang:
+            # A large gang needs more room at once than is likely to be left: a machine's worth.
+            tasks = min(tasks, self.market.most_on_one(job.spec))
         arrivals.times.append((max(job.submitted, now - seconds(600)), tasks))
         arrivals.spec = job.spec
         arrivals.images.append(job.spec.image)
@@ -286,8 +288,8 @@
 
     def _likely(self, arrivals: Arrivals, now: timedelta, boot_s: float) -> int:
         """Tasks that may well come while a machine boots; one at least."""
-        # A burst is not taken for a rate: the lower one of a long and a short window counts.
-        rate = min(arrivals.rate(now, window) for window in ARRIVAL_WINDOWS)
+        # A burst is not taken for a rate for long: the median over windows counts.
+        rate = sorted(arrivals.rate(now, window) for window in ARRIVAL_WINDOWS)[1]
         return max(1, math.ceil(rate * boot_s * 1.5))
 
     # -- machines --------------------------------------------------------------------------
--- a/micadeal/fleet/offers.py
+++ b/micadeal/fleet/offers.py
@@ -70,6 +70,10 @@
             for kind in self.types.values()
         )
 
+    def most_on_one(self, spec: Submission) -> int:
+        """How many tasks of this size one machine takes at most; one at least."""
+        return max((_per_machine(spec, kind) for kind in self.types.values()), default=1)
+
     def choices(
         self, spec: Submission, now: timedelta, present: Counter[str]
     ) -> Iterator[tuple[Offer, MachineType]]:
@@ -93,8 +97,7 @@
             yield offer, kind
 
 
-def _per_task(spec: Submission, kind: MachineType, price: float) -> float:
-    """Price per task of this size on a full machine."""
+def _per_machine(spec: Submission, kind: MachineType) -> int:
     ratios: Iterable[float] = (
         have / need
         for have, need in (
@@ -104,4 +107,9 @@
         )
         if need > 0
     )
-    return price / max(1, int(min(ratios, default=1.0) + 1e-6))
+    return max(1, int(min(ratios, default=1.0) + 1e-6))
+
+
+def _per_task(spec: Submission, kind: MachineType, price: float) -> float:
+    """Price per task of this size on a full machine."""
+    return price / _per_machine(spec, kind)
