--- a/micadeal/controller/scheduler.py
+++ b/micadeal/controller/scheduler.py
@@ -41,6 +41,10 @@
 COUNTING_TIME = seconds(4)
 #: How often the log gets a line on machines and tasks.
 LINE_EVERY = seconds(15)
+#: Warm room, as a multiple of what comes in a boot time on average: some beyond it where room costs
+#: a fraction.
+SPARE_ORDINARY = 1.0
+SPARE_SPOT = 1.5
 MOST_CLASSES = 100
 #: Arrivals kept per class, and how far back they count.
 ARRIVALS = 100
@@ -282,16 +286,13 @@
             boots = [kind.boot_s for kind in self.market.types.values()]
             if not boots or objective.within >= seconds(min(boots)):
                 continue
-            tasks = self._likely(arrivals, now, min(boots))
+            # A burst is not taken for a rate for long: the median over windows counts.
+            rate = sorted(arrivals.rate(now, window) for window in ARRIVAL_WINDOWS)[1]
+            spare = SPARE_SPOT if arrivals.spec.spot_allowed else SPARE_ORDINARY
+            tasks = max(1, math.ceil(rate * min(boots) * spare))
             result.append(Expected(arrivals.spec, tasks, frozenset(arrivals.images)))
         return result
 
-    def _likely(self, arrivals: Arrivals, now: timedelta, boot_s: float) -> int:
-        """Tasks that may well come while a machine boots; one at least."""
-        # A burst is not taken for a rate for long: the median over windows counts.
-        rate = sorted(arrivals.rate(now, window) for window in ARRIVAL_WINDOWS)[1]
-        return max(1, math.ceil(rate * boot_s * 1.5))
-
     # -- machines --------------------------------------------------------------------------
 
     def _drain(self, now: timedelta) -> None:
