--- a/micadeal/cli/main.py
+++ b/micadeal/cli/main.py
@@ -12,6 +12,7 @@
 import click
 
 from micadeal import __version__
+from micadeal.cli.flood import FloodFilter
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 FAILED, MISUSED = 1, 2
@@ -22,6 +23,8 @@
     logging.basicConfig(
         stream=sys.stderr, level=level, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
     )
+    for handler in logging.getLogger().handlers:
+        handler.addFilter(FloodFilter())
 
 
 def _fail(text: str, code: int = FAILED) -> NoReturn:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
@@ -11,6 +12,7 @@
 import pytest
 from click.testing import CliRunner
 
+from micadeal.cli.flood import FloodFilter
 from micadeal.cli.main import main
 from micadeal.clock import ZERO, seconds
 from micadeal.fleet.gate import Gate, Way
@@ -238,3 +240,22 @@
         except HttpError:
             await curio.sleep(0.005)
     raise AssertionError("never served")
+
+
+# -- logging ---------------------------------------------------------------------------------
+
+
+def test_a_flood_of_like_warnings_is_cut_and_counted() -> None:
+    flood = FloodFilter()
+
+    def passes(message: str, value: int, at: float, level: int = logging.WARNING) -> str | None:
+        record = logging.LogRecord("micadeal", level, "f", 1, message, (value,), None)
+        record.created = at
+        return record.getMessage() if flood.filter(record) else None
+
+    through = [text for i in range(500) if (text := passes("garbage %d", i, 100 + i / 100))]
+    assert len(through) == 20
+    assert passes("another %d", 1, 105) == "another 1"
+    assert passes("garbage %d", 7, 106, logging.INFO) == "garbage 7"
+    assert passes("garbage %d", 9, 111) == "garbage 9 (480 more like it were left out)"
+    assert passes("garbage %d", 10, 112) == "garbage 10"
