--- a/micadeal/controller/plan.py
+++ b/micadeal/controller/plan.py
@@ -101,13 +101,11 @@
         if kind is not None:
             for number in range(count):
                 name = f"asked for {offer.zone} {offer.spot} {number}"
-                rooms.append(_empty_room(name, offer, kind, now, len(rooms), wish=False))
+                rooms.append(_empty_room(name, offer, kind, len(rooms), wish=False))
     return rooms
 
 
-def _empty_room(
-    name: str, offer: Offer, kind: MachineType, now: timedelta, order: int, wish: bool
-) -> Room:
+def _empty_room(name: str, offer: Offer, kind: MachineType, order: int, wish: bool) -> Room:
     return Room(
         name,
         offer.machine_type,
@@ -118,7 +116,6 @@
         kind.memory_gb,
         up=False,
         wish=wish,
-        since=now,
         order=order,
     )
 
@@ -143,7 +140,6 @@
         shape.tasks,
         shape.bound_tasks,
         0,
-        machine.rented,
         order,
     )
 
@@ -548,7 +544,7 @@
 
     def _new_room(self, offer: Offer, kind: MachineType) -> Room:
         name = f"wish {offer.zone} {self.wishes} {len(self.rooms)}"
-        return _empty_room(name, offer, kind, self.now, len(self.rooms), wish=True)
+        return _empty_room(name, offer, kind, len(self.rooms), wish=True)
 
     def _held(self, offer: Offer) -> int:
         """Machines that we have of an offer, or ask for in this pass."""
--- a/micadeal/placement/rooms.py
+++ b/micadeal/placement/rooms.py
@@ -10,7 +10,6 @@
 from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
-from datetime import timedelta
 from heapq import heapify, heappop, heappush, heapreplace
 
 from micadeal.wire.cloud import MachineType
@@ -38,7 +37,6 @@
     #: Tasks on it that could not be on a spot machine.
     bound_tasks: int = 0
     booked: int = 0
-    since: timedelta = timedelta(0)
     #: Place in the pass: of equally good rooms the first is taken.
     order: int = 0
 
