A job that failed somewhere keeps off those machines as before; what it finds proves nothing for others

Found by the property test once its jobs had failed on some machines: the quick pass fell back to a machine on which the job had failed whenever all others were full.

--- a/micadeal/controller/plan.py
+++ b/micadeal/controller/plan.py
@@ -380,9 +380,9 @@
 
     def _open_rooms(self, job: Job) -> list[Room]:
         """Rooms for this job: not where it failed, as long as there are others."""
-        if not job.errors:
+        if not job.errors or all(room.name in job.errors for room in self.rooms):
             return self.open
-        return [room for room in self.open if room.name not in job.errors] or self.open
+        return [room for room in self.open if room.name not in job.errors]
 
     def _picker(self, job: Job) -> Picker | None:
         """What the job chooses its rooms from; None if there is nothing for tasks of its size.
@@ -409,9 +409,9 @@
             self._nothing[size] = (len(self.rooms), self._shared)
             return None
         if job.errors:
-            fitting = [room for room in fitting if room.name not in job.errors] or fitting
-        picker = Picker(spec, fitting, self._rule(job), self.spot_scarce)
-        self._pickers[job.id] = picker
+            # Which rooms are open to it changes with every room that comes: ranked anew each time.
+            return Picker(spec, self._open_rooms(job), self._rule(job), self.spot_scarce)
+        picker = self._pickers[job.id] = Picker(spec, fitting, self._rule(job), self.spot_scarce)
         return picker
 
     def _rule(self, job: Job) -> ZoneRule:
@@ -505,7 +505,9 @@
                 job.reasons[WAITS_FOR_IMAGE] += spec.tasks
                 return 0.0
         if found is None:
-            self._nothing[size] = (len(self.rooms), self._shared)
+            if not job.errors:
+                # A job that failed somewhere looks at fewer rooms: it proves nothing for others.
+                self._nothing[size] = (len(self.rooms), self._shared)
             wishes = self._gang_wishes(spec)
             found = choose_gang(spec, [*rooms, *wishes], self.spot_scarce) if wishes else None
             for room in wishes:
@@ -515,7 +517,7 @@
             job.reasons[self._no_room_reason(job)] += spec.tasks
             self.unplaced.append(job)
             return 0.0
-        for room in set(found):
+        for room in dict.fromkeys(found):
             self._filled(room, spec)
         if all(room.up for room in found):
             number = self.cluster.next_number()
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -35,7 +35,7 @@
         self.plain, self.job = plain, job
 
     def best(self) -> Room | None:
-        rooms = self.plain.rooms
+        rooms = self.plain._open_rooms(self.job)
         rule = self.plain._rule(self.job)
         return choose(self.job.spec, rooms, rule, self.plain.spot_scarce)
 
@@ -47,7 +47,7 @@
         return PlainPicker(self, job)
 
     def _open_rooms(self, job: Job) -> list[Room]:
-        return self.rooms
+        return [room for room in self.rooms if room.name not in job.errors] or self.rooms
 
 
 def plain_gang(spec: Submission, rooms: Sequence[Room], batch: bool) -> list[Room] | None:
@@ -81,6 +81,10 @@
 def outcome(picture: Picture) -> tuple[object, ...]:
     """Two passes with reports and ends between them; all that they decided."""
     result: list[object] = []
+    for job in picture.cluster.live_jobs():
+        if picture.random.random() < 0.2:
+            # It failed on some machines: as long as there are others, they are not for it.
+            job.errors.update(list(picture.cluster.machines)[::2])
     for _ in range(3):
         picture.scheduler.run_pass(picture.now)
         decided = picture.scheduler.plan
