--- a/micadeal/controller/plan.py
+++ b/micadeal/controller/plan.py
@@ -101,13 +101,11 @@
         if kind is not None:
             for number in range(count):
                 name = f"asked for {offer.zone} {offer.spot} {number}"
-                rooms.append(_empty_room(name, offer, kind, now, len(rooms), wish=False))
+                rooms.append(_empty_room(name, offer, kind, len(rooms), wish=False))
     return rooms
 
 
-def _empty_room(
-    name: str, offer: Offer, kind: MachineType, now: timedelta, order: int, wish: bool
-) -> Room:
+def _empty_room(name: str, offer: Offer, kind: MachineType, order: int, wish: bool) -> Room:
     return Room(
         name,
         offer.machine_type,
@@ -118,7 +116,6 @@
         kind.memory_gb,
         up=False,
         wish=wish,
-        since=now,
         order=order,
     )
 
@@ -143,7 +140,6 @@
         shape.tasks,
         shape.bound_tasks,
         0,
-        machine.rented,
         order,
     )
 
@@ -384,9 +380,9 @@
 
     def _open_rooms(self, job: Job) -> list[Room]:
         """Rooms for this job: not where it failed, as long as there are others."""
-        if not job.errors:
+        if not job.errors or all(room.name in job.errors for room in self.rooms):
             return self.open
-        return [room for room in self.open if room.name not in job.errors] or self.open
+        return [room for room in self.open if room.name not in job.errors]
 
     def _picker(self, job: Job) -> Picker | None:
         """What the job chooses its rooms from; None if there is nothing for tasks of its size.
@@ -413,9 +409,9 @@
             self._nothing[size] = (len(self.rooms), self._shared)
             return None
         if job.errors:
-            fitting = [room for room in fitting if room.name not in job.errors] or fitting
-        picker = Picker(spec, fitting, self._rule(job), self.spot_scarce)
-        self._pickers[job.id] = picker
+            # Which rooms are open to it changes with every room that comes: ranked anew each time.
+            return Picker(spec, self._open_rooms(job), self._rule(job), self.spot_scarce)
+        picker = self._pickers[job.id] = Picker(spec, fitting, self._rule(job), self.spot_scarce)
         return picker
 
     def _rule(self, job: Job) -> ZoneRule:
@@ -509,7 +505,9 @@
                 job.reasons[WAITS_FOR_IMAGE] += spec.tasks
                 return 0.0
         if found is None:
-            self._nothing[size] = (len(self.rooms), self._shared)
+            if not job.errors:
+                # A job that failed somewhere looks at fewer rooms: it proves nothing for others.
+                self._nothing[size] = (len(self.rooms), self._shared)
             wishes = self._gang_wishes(spec)
             found = choose_gang(spec, [*rooms, *wishes], self.spot_scarce) if wishes else None
             for room in wishes:
@@ -519,7 +517,7 @@
             job.reasons[self._no_room_reason(job)] += spec.tasks
             self.unplaced.append(job)
             return 0.0
-        for room in set(found):
+        for room in dict.fromkeys(found):
             self._filled(room, spec)
         if all(room.up for room in found):
             number = self.cluster.next_number()
@@ -548,7 +546,7 @@
 
     def _new_room(self, offer: Offer, kind: MachineType) -> Room:
         name = f"wish {offer.zone} {self.wishes} {len(self.rooms)}"
-        return _empty_room(name, offer, kind, self.now, len(self.rooms), wish=True)
+        return _empty_room(name, offer, kind, len(self.rooms), wish=True)
 
     def _held(self, offer: Offer) -> int:
         """Machines that we have of an offer, or ask for in this pass."""
