Finished sets in one transaction stay below its size limit

Found in a last reading: with many large arrays a batch of finished sets could pass 64 KiB, be refused, and be tried again for ever.

--- a/micadeal/controller/records.py
+++ b/micadeal/controller/records.py
@@ -42,6 +42,8 @@
 GATHER = seconds(1)
 #: Records of placements in one transaction: it may hold 64 KiB, each value some of that.
 MOST_PLACED = 4
+#: Bytes of finished sets in one transaction, for the same reason: a larger one is refused for ever.
+MOST_BITS = 32_000
 #: Pages of the images that machines hold, how often one is written at most, images per machine.
 IMAGE_PAGES = 16
 IMAGES_EVERY = seconds(20)
@@ -232,6 +234,7 @@
         finished: list[tuple[str, frozenset[int], int]],
         most: int,
     ) -> None:
+        size = 0
         for job_id in list(self._cluster.finished_dirty):
             job = self._cluster.jobs.get(job_id)
             if job is None or job.over or job.complete:
@@ -245,9 +248,10 @@
                 del self._gathering[job_id]
                 continue
             for chunk in sorted(chunks):
-                if len(operations) >= most:
-                    return
                 bits = job.chunk_bits(chunk)
+                size += len(bits)
+                if len(operations) >= most or size > MOST_BITS:
+                    return
                 operations.append(Put(f"done/{job.id}/{chunk}", FinishedRecord(bits)))
                 job.chunks.add(chunk)
                 finished.append((job.id, frozenset(job.finished), chunk))
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -5,13 +5,22 @@
 
 from dataclasses import dataclass, field
 
+import msgspec
 import pytest
 
 from micadeal.clock import seconds
 from micadeal.controller.records import Changes, Recorder
 from micadeal.state.service import Limits
 from micadeal.wire.codec import convert, decode, encode
-from micadeal.wire.state import Item, MachineRecord, PlacedRecord, PlacedTask, Put
+from micadeal.wire.state import (
+    Item,
+    MachineRecord,
+    PlacedRecord,
+    PlacedTask,
+    Put,
+    Transaction,
+)
+from micadeal.wire.users import Shape
 from tests.fakes.picture import Picture
 from tests.fakes.world import World
 
@@ -125,3 +134,26 @@
 
     world = World().play(monkeypatch, story)
     assert all(count == 1 for count in world.starts.values())
+
+
+def test_no_transaction_is_too_large_however_many_tasks_have_finished() -> None:
+    """Guards against a batch that the state service refuses for ever: 64 KiB hold some ten full
+    chunks of finished tasks, and fewer than the changes that a transaction may have."""
+    picture = Picture(2, 0)
+    for _ in range(30):
+        job = picture.submit(shape=Shape.ARRAY, tasks=100_000)
+        for index in range(0, 72_000, 3):
+            job.finish(index)
+        picture.cluster.finished_dirty.add(job.id)
+    recorder = Recorder(picture.cluster, Limits(200, 80, 32, 8192))
+    recorder.next(picture.now)
+    written = 0
+    for _ in range(200):
+        picture.now += seconds(2)
+        for batch in recorder.next(picture.now):
+            message = Transaction(list(batch.conditions), list(batch.operations))
+            assert len(msgspec.json.encode(message)) < 64 * 1024
+            written += len(batch.finished)
+            recorder.committed(batch, 1, picture.now)
+    assert written == 90
+    assert not picture.cluster.finished_dirty
