--- a/micadeal/controller/plan.py
+++ b/micadeal/controller/plan.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
+from heapq import heapify, heappop, heappush
 
 from micadeal.controller.cluster import Cluster
 from micadeal.controller.delay import Delay
@@ -23,8 +24,8 @@
     Room,
     ZoneRule,
     allowed,
-    choose,
     choose_gang,
+    rank,
     worth_it,
 )
 from micadeal.sharing.order import team_key
@@ -36,6 +37,8 @@
 from micadeal.wire.users import Submission
 
 RESOURCES = ("gpus", "cpus")
+#: Room that is kept is not tied to other tasks of a job.
+NO_ZONES: Counter[str] = Counter()
 WAITS_FOR_IMAGE = "waits a little for a machine that holds its image"
 #: New machines wished for in one pass, however much waits.
 MOST_WISHES = 200
@@ -608,30 +611,44 @@
         return "no room in a zone that the job's other tasks leave open"
 
     def _keep_room(self, work: Expected) -> None:
-        """Hold room for work of a class whose tasks are to start sooner than a machine boots."""
-        fitting = [r for r in self.rooms if r.fits(work.spec)]
+        """Hold room for work of a class whose tasks are to start sooner than a machine boots.
+
+        Rooms are ranked once and anew only when something was booked into them: with hundreds of
+        tasks expected, ranking all for each took most of a leader's time.
+        """
+        spec = work.spec
+        heap = [
+            (self._spare_rank(work, room), room.order, room)
+            for room in self.rooms
+            if room.fits(spec)
+            and allowed(spec, room.machine_type, room.zone, room.spot)
+            and worth_it(spec, room, False)
+        ]
+        heapify(heap)
         for _ in range(work.tasks):
-            rule = ZoneRule(work.spec)
-            # Room that holds more of the class's images is worth more: a fetch takes longer than
-            # such a class may wait.
-            open_rooms = [r for r in fitting if r.fits(work.spec)]
-            if any(r.up and r.bound_tasks for r in open_rooms) and not work.spec.spot_allowed:
-                # The rest of a machine that is kept anyway costs nothing.
-                open_rooms = [r for r in open_rooms if r.bound_tasks]
-            most = max((len(r.images & work.images) for r in open_rooms if r.up), default=0)
-            best = [r for r in open_rooms if r.up and len(r.images & work.images) == most]
-            room = choose(work.spec, best, rule, False) or choose(
-                work.spec, open_rooms, rule, False
-            )
-            if room is None:
-                room = self._wish(work.spec, rule, spare=True)
-            if room is None:
-                return
-            room.book(work.spec)
-            if room.wish:
-                fitting.append(room)
+            if heap:
+                room = heap[0][2]
+            elif (wish := self._wish(spec, ZoneRule(spec), spare=True)) is not None:
+                room = wish
+                heappush(heap, (self._spare_rank(work, room), room.order, room))
             else:
+                return
+            room.book(spec)
+            if not room.wish:
                 self.plan.spare.add(room.name)
+            # A room is fuller now, so it ranks better if anything: it is the next one to be taken.
+            heappop(heap)
+            if room.fits(spec):
+                heappush(heap, (self._spare_rank(work, room), room.order, room))
+
+    @staticmethod
+    def _spare_rank(work: Expected, room: Room) -> tuple[float, ...]:
+        """Smaller is better: the rest of a machine that is kept anyway costs nothing; room that
+        holds more of the class's images is worth more, since a fetch takes longer than such a
+        class may wait."""
+        shared = room.up and (room.bound_tasks > 0 or work.spec.spot_allowed)
+        images = len(room.images & work.images) if room.up else 0
+        return (0 if shared else 1, 0 if room.up else 1, -images, *rank(work.spec, room, NO_ZONES))
 
     # -- victims ---------------------------------------------------------------------------
 
--- a/micadeal/controller/scheduler.py
+++ b/micadeal/controller/scheduler.py
@@ -115,11 +115,11 @@
         if job.id in self.cluster.jobs:
             return
         self.cluster.add_job(job)
-        if not job.blocked:
+        if not job.spec.prerequisites:
+            # When one that waits for others will come is known better than by a rate.
             self._arrived(job, now)
 
     def _arrived(self, job: Job, now: timedelta) -> None:
-        """A job can run from now on, as far as others go."""
         arrivals = self._arrivals.pop(job.spec.job_class, None) or Arrivals()
         self._arrivals[job.spec.job_class] = arrivals
         if len(self._arrivals) > MOST_CLASSES:
@@ -129,7 +129,7 @@
         if job.is_gang:
             # A large gang needs more room at once than is likely to be left: a machine's worth.
             tasks = min(tasks, self.market.most_on_one(job.spec))
-        arrivals.times.append((max(job.ready, now - seconds(600)), tasks))
+        arrivals.times.append((max(job.submitted, now - seconds(600)), tasks))
         arrivals.spec = job.spec
         arrivals.images.append(job.spec.image)
 
@@ -238,8 +238,6 @@
 
     def run_pass(self, now: timedelta) -> None:
         self.cluster.changed = False
-        for job in self.cluster.pipelines.take_released():
-            self._arrived(job, now)
         self._last_pass = now
         may_rent = self.listed and now - self.cluster.began >= COUNTING_TIME
         # What is asked for counts as booting: else it would be rented twice.
--- a/micadeal/jobs/pipeline.py
+++ b/micadeal/jobs/pipeline.py
@@ -39,8 +39,6 @@
     #: Live jobs that need a cancelled one: their own end is to be recorded.  None of them has a
     #: task anywhere, since what it needs was never done.
     doomed: dict[str, Job] = field(default_factory=dict)
-    #: Jobs that became runnable and nobody has asked for yet.
-    released: list[Job] = field(default_factory=list)
     #: Something happened since ``unread`` was asked for.
     changed: bool = False
     _ends: dict[str, End] = field(default_factory=dict)
@@ -118,10 +116,6 @@
     def needed(self, name: str) -> bool:
         return name in self._needed_by
 
-    def take_released(self) -> list[Job]:
-        released, self.released = self.released, []
-        return released
-
     # -- parts -----------------------------------------------------------------------------
 
     def _apply(self, job: Job, name: str, end: End) -> None:
@@ -130,8 +124,6 @@
             return
         job.needs.discard(name)
         job.ready = max(job.ready, end.at)
-        if not job.blocked:
-            self.released.append(job)
 
     def _doom(self, first: Job) -> None:
         """All that need a cancelled job, directly or through others, are to be ended with it."""
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -17,8 +17,9 @@
 from tests.fakes import cloud as cloud_fake
 from tests.fakes import state as state_fake
 from tests.fakes.cloud import FakeCloud, Rented
+from tests.fakes.earlier import EarlierNetwork
 from tests.fakes.kernel import run_stepped
-from tests.fakes.network import FakeNetwork, HostPower
+from tests.fakes.network import FakeNetwork, HostNetwork, HostPower
 from tests.fakes.state import FakeState
 from tests.fakes.workers import FakeWorker, Fleet, Held, Job
 
@@ -120,14 +121,19 @@
 
     # -- life ------------------------------------------------------------------------------
 
-    def play(self, monkeypatch: Any, story: Callable[[World], Awaitable[None]]) -> World:
+    def play(
+        self,
+        monkeypatch: Any,
+        story: Callable[[World], Awaitable[None]],
+        earlier: bool = False,
+    ) -> World:
         async def main() -> None:
             self.network.serve(state_fake.HOST, state_fake.ADDRESS, self.state.handle)
             self.network.serve(cloud_fake.HOST, cloud_fake.ADDRESS, self.cloud.handle)
             for work in (self.state.run, self._time):
                 await curio.spawn(work, daemon=True)
             for number in range(3):
-                await self.start(number)
+                await self.start(number, earlier)
             await story(self)
 
         run_stepped(main, monkeypatch)
@@ -140,11 +146,13 @@
             await self.cloud.step()
             self._check()
 
-    async def start(self, number: int) -> None:
+    async def start(self, number: int, earlier: bool = False) -> None:
+        """``earlier``: it knows no more than the version in production before pipelines."""
         name = f"c{number}"
         power = self._powers[name] = HostPower()
         platform = parse(settings(number, self.teams, self.coming))
-        node = Node(platform, self.network.seen_from(name, power))
+        network = EarlierNetwork if earlier else HostNetwork
+        node = Node(platform, network(self.network, name, power))
         await curio.spawn(node.run, daemon=True)
 
     def crash(self, number: int) -> None:
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,199 @@
+"""Versions side by side: each reads what the other writes, and limits may fall at any moment."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any
+
+import curio
+import msgspec
+import pytest
+
+from micadeal.clock import seconds
+from micadeal.controller.records import Recorder
+from micadeal.jobs.model import CHUNK, to_bits
+from micadeal.jobs.stored import part_keys, split, whole
+from micadeal.state.limits import Limits
+from micadeal.wire import mesh
+from micadeal.wire import state as records
+from micadeal.wire.codec import decode, encode, json_size
+from micadeal.wire.users import Shape, Status
+from tests.fakes.earlier import forget
+from tests.fakes.picture import Picture
+from tests.fakes.world import COMING, World
+from tests.fakes.written_before import WRITTEN
+
+KINDS: dict[str, Any] = {
+    "leader": records.LeaderRecord,
+    "job": records.JobRecord,
+    "job_plain": records.JobRecord,
+    "end_done": records.EndRecord,
+    "end_cancelled": records.EndRecord,
+    "finished": records.FinishedRecord,
+    "placed": records.PlacedRecord,
+    "images": records.ImagesRecord,
+    "settings": records.SettingsRecord,
+    "ping": mesh.Ping,
+    "pong": mesh.Pong,
+    "notice": mesh.Notice,
+    "relay": mesh.Relay,
+    "relayed": mesh.Relayed,
+    "why": mesh.WhyAnswer,
+    "overview": mesh.Overview,
+}
+SMALL: dict[str, Any] = {"image_gb": 0.1, "accelerators": 0.0, "run_s": 5.0}
+LOW = Limits(150, 18, 5, 2048)
+
+
+@pytest.mark.parametrize("name", WRITTEN)
+def test_what_either_version_writes_means_the_same_to_the_other(name: str) -> None:
+    """The earlier one's bytes decode, and written anew and read by it they say what they said."""
+    before = bytes.fromhex(WRITTEN[name])
+    found = decode(KINDS[name], before)
+    again = decode(Any, encode(found))
+    assert forget(again) == decode(Any, before)
+
+
+def test_fields_of_pipelines_are_the_only_ones_an_earlier_version_loses() -> None:
+    job = decode(records.JobRecord, bytes.fromhex(WRITTEN["job"]))
+    assert job.submission.prerequisites is None
+    later = msgspec.structs.replace(job.submission, prerequisites=["req-000001"])
+    record = records.JobRecord(later, job.submitted_at)
+    read = decode(records.JobRecord, encode(forget(decode(Any, encode(record)))))
+    assert read == job
+    # What only a service with lower limits makes necessary: not to be mistaken for something else.
+    parts = split(record, Limits(150, 18, 5, 256))
+    assert parts is not None and len(parts) > 1
+    with pytest.raises(msgspec.ValidationError):
+        msgspec.convert(decode(Any, encode(parts[0].value)), records.JobRecord)
+    values = [decode(Any, encode(put.value)) for put in parts]
+    assert whole(values[0], values[1:]) == record
+    assert part_keys(values[0], later.job_id) == [put.key for put in parts[1:]]
+
+
+def test_a_roll_with_crashes_and_lower_limits_right_after(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The version in production is replaced one controller after the other, old ones come back
+    old, leaders old and new follow each other; then limits fall and pipelines come at once."""
+
+    async def story(world: World) -> None:
+        service = await world.run_job("daemon", 2, rank="production", crew="blue")
+        array = await world.run_job("array", 4, run_s=60.0, loaners=True)
+        await world.until(lambda: world.running(service) == 2 and world.running(array) >= 2)
+        versions = dict.fromkeys(range(3), True)
+
+        async def restart(number: int) -> None:
+            world.crash(number)
+            await curio.sleep(5)
+            await world.start(number, earlier=versions[number])
+            await curio.sleep(5)
+
+        for number in range(3):
+            leader = world.leader()
+            assert leader is not None
+            await restart(leader)  # of its own accord: it comes back as what it was
+            versions[number] = False
+            await restart(number)
+            await world.run_job("array", 1, run_s=3.0)
+        world.state.txn_ops, world.state.value_bytes = 5, 2048
+        jobs = [await world.run_job("array", 6, crew="blue", **SMALL)]
+        for _ in range(2):
+            jobs.append(await world.run_job("array", 3, waits_on=[jobs[-1]], **SMALL))
+        await restart(world.leader() or 0)
+        for job in [*jobs, array]:
+            await world.until_done(job)
+        assert world.running(service) == 2
+
+    world = World(coming=COMING).play(monkeypatch, story, earlier=True)
+    assert all(count == 1 for count in world.starts.values())
+    assert world.state.refused == 0
+
+
+def test_the_largest_jobs_outlive_lower_limits_and_a_change_of_leader(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards finished work, and against a write that is refused for ever: parts of a finished set
+    that were stored large, and a description that was accepted before, after limits have fallen."""
+    names = [hashlib.sha256(str(n).encode()).hexdigest()[:28] for n in range(200)]
+
+    async def story(world: World) -> None:
+        big = await world.run_job("array", 30_000, crew="blue", vcpus=4.0, **SMALL)
+        for number in range(3):
+            world.crash(number)
+        # What an earlier version wrote, or this one before limits fell.
+        there = [index for index in range(29_980) if index % 2_000 != 1_999]
+        for chunk in range(2):
+            bits = to_bits([i for i in there if i // CHUNK == chunk], chunk * CHUNK)
+            world.state.keys[f"done/{big}/{chunk}"] = ({"bits": bits}, world.state.revision, None)
+        world.done |= {f"{big}/{index}" for index in there}
+        world.state.txn_ops, world.state.value_bytes = 5, 2048
+        for number in range(3):
+            await world.start(number)
+        await curio.sleep(3)
+        long = await world.run_job("array", 1, rigs=["box", *names], **SMALL)
+        assert f"part/{long}/1" in world.state.keys
+        await world.until(lambda: len(world.done) > len(there) + 12)
+        await world.until(lambda: any(k.startswith(f"finished/{big}/") for k in world.state.keys))
+        leader = world.leader()
+        assert leader is not None
+        world.crash(leader)
+        await curio.sleep(5)
+        await world.start(leader)
+        await world.until_done(big)
+        await world.until_done(long)
+        assert not any(world.starts[f"{big}/{index}"] for index in there)
+        await curio.sleep(30)
+        assert not [k for k in world.state.keys if k.startswith(("done/", "finished/", "part/"))]
+
+    world = World(coming=COMING, capacity=2).play(monkeypatch, story)
+    assert world.state.refused < 12
+
+
+@pytest.mark.parametrize("operations", [5, 2])
+def test_sizes_are_kept_however_much_is_placed(operations: int) -> None:
+    """Guards against a record of placements, images or finished tasks that is over the limits: a
+    gang over hundreds of machines, names that are no ASCII."""
+    picture = Picture(520, 0, 3)
+    job = picture.submit(
+        shape=Shape.GANG, tasks=250, one_zone=False, spread=False, gpus=2.0, cpus=14.0,
+        memory_gb=51.0, image="görüntü-" + "ü" * 40, spot_allowed=False, team=picture.teams[0],
+    )  # fmt: skip
+    limits = Limits(150, 18, operations, 2048)
+    recorder = Recorder(picture.cluster, limits)
+    picture.scheduler.run_pass(picture.now)
+    assert len(job.attempts) == 250
+    for _ in range(400):
+        picture.now += seconds(0.5)
+        for batch in recorder.next(picture.now):
+            assert len(batch.operations) <= operations
+            for operation in batch.operations:
+                if isinstance(operation, records.Put):
+                    assert json_size(operation.value) <= 2048
+            recorder.committed(batch, 1, picture.now)
+    assert not picture.cluster.unwritten
+    assert all(attempt.durable for attempt in job.all_attempts())
+
+
+def test_what_is_called_too_large_is_never_asked_for_again() -> None:
+    """Guards against a 400 that comes back for ever, should the service count otherwise."""
+    picture = Picture(40, 60, 5)
+    recorder = Recorder(picture.cluster, LOW)
+    most = 900
+    refused = 0
+    picture.scheduler.run_pass(picture.now)
+    for _ in range(600):
+        picture.now += seconds(0.5)
+        for batch in recorder.next(picture.now):
+            sizes = [json_size(o.value) for o in batch.operations if isinstance(o, records.Put)]
+            if any(size > most for size in sizes):
+                refused += 1
+                recorder.refused(batch)
+                recorder.failed(batch, {c.key: None for c in batch.conditions}, picture.now)
+            else:
+                recorder.committed(batch, 1, picture.now)
+    assert 0 < refused < 12
+    assert not picture.cluster.unwritten
+
+
+def test_an_end_says_how_a_job_ended() -> None:
+    end = decode(records.EndRecord, bytes.fromhex(WRITTEN["end_done"]))
+    assert end.status is Status.DONE and end.ended_at == 1790000100.5
