--- a/micadeal/controller/cluster.py
+++ b/micadeal/controller/cluster.py
@@ -341,13 +341,10 @@
         self, machine: Machine, key: tuple[str, int, int], state: TaskState, now: timedelta
     ) -> None:
         attempt = machine.attempts.get(key)
+        unknown = attempt is None
         if attempt is None:
-            job = self._job_or_ghost(key[0])
             attempt = Attempt(*key, machine.name, now)
-            self._adopt(job, machine, attempt)
-            others = [a for a in job.attempts[key[1]] if a is not attempt]
-            if job.over or others or key[1] in job.finished:
-                self.stop(attempt, ZERO, now)
+            self._adopt(self._job_or_ghost(key[0]), machine, attempt)
         if state is not attempt.state:
             if state is TaskState.RUNNING and attempt.running_since is None:
                 attempt.running_since = now
@@ -364,6 +361,10 @@
         job = self.jobs[key[0]]
         if not job.over:
             machine.images[job.spec.image] = now
+        if unknown and (job.over or len(job.attempts[key[1]]) > 1 or key[1] in job.finished):
+            # Only now that its state is known: one that nobody has reported is taken for never
+            # started and leaves the picture at once.
+            self.stop(attempt, ZERO, now)
 
     def _exited(
         self, machine: Machine, key: tuple[str, int, int], task: TaskReport, now: timedelta
--- a/micadeal/controller/dispatcher.py
+++ b/micadeal/controller/dispatcher.py
@@ -30,6 +30,7 @@
 from micadeal.state.service import Conflict, Refused, StateError, StateService, TooOld, Urgency
 from micadeal.wire.cloud import ListedMachine, MachineType, RentalRequest
 from micadeal.wire.codec import BadMessage, convert, decode, encode
+from micadeal.wire.mesh import Counts
 from micadeal.wire.state import (
     Condition,
     EndRecord,
@@ -135,11 +136,6 @@
     end: EndRecord | None
 
 
-@dataclass(frozen=True, slots=True)
-class CascadedWanted:
-    """Which cancellations have reached all jobs after them: those told before which instant."""
-
-
 @dataclass(frozen=True, slots=True)
 class CatalogRead:
     types: list[MachineType]
@@ -179,8 +175,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CountsWanted:
-    pass
+class ProgressWanted:
+    """For the desks of all controllers; answered with ``Progress``."""
+
+
+@dataclass(frozen=True, slots=True)
+class Progress:
+    counts: list[Counts]
+    #: All jobs that need one that was cancelled before this instant are recorded cancelled.
+    cascaded: timedelta | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -349,8 +352,6 @@
                     self._cluster.pipelines.not_found(job_id, now)
                 else:
                     self._cluster.job_ended(job_id, end, now)
-            case CascadedWanted():
-                return self._cascaded
             case Loaded():
                 self._take_over(message, now)
             case NewSettings(item):
@@ -371,8 +372,8 @@
                     scheduler.released(names, now)
             case Written():
                 self._written(message)
-            case CountsWanted():
-                return scheduler.counts()
+            case ProgressWanted():
+                return Progress(scheduler.counts(), self._cascaded)
             case WhyWanted(job_id):
                 return answers.why(scheduler, job_id, now)
             case OverviewWanted():
--- a/micadeal/controller/node.py
+++ b/micadeal/controller/node.py
@@ -14,12 +14,11 @@
 from micadeal.controller.dispatcher import (
     SETTINGS,
     CancelNotice,
-    CascadedWanted,
-    CountsWanted,
     Dispatcher,
     Extended,
     OverviewWanted,
     PeerNews,
+    ProgressWanted,
     Reply,
     ReportIn,
     WhyWanted,
@@ -136,10 +135,13 @@
                 log.warning("the leader's mailbox is full")
 
     async def _on_pong(self, name: str, pong: Pong) -> None:
-        if self._dispatcher is not None:
+        # The term may end while an answer is waited for.
+        dispatcher = self._dispatcher
+        if dispatcher is not None:
             await self._tell(PeerNews(self._mesh.contacts()))
-            self._desk.set_counts(await self._dispatcher.ask(CountsWanted(), ASK_TIME))
-            self._desk.set_cascaded(await self._dispatcher.ask(CascadedWanted(), ASK_TIME))
+            progress = await dispatcher.ask(ProgressWanted(), ASK_TIME)
+            self._desk.set_counts(progress.counts)
+            self._desk.set_cascaded(progress.cascaded)
         elif pong.leading and name == self._leader:
             self._desk.set_counts(pong.counts)
             self._desk.set_cascaded(self._mesh.cascaded(name))
@@ -316,10 +318,10 @@
         counts = []
         cascade_age = None
         if ping.wants_counts and self._dispatcher is not None:
-            counts = await self._dispatcher.ask(CountsWanted(), timedelta(milliseconds=500))
-            cascaded = await self._dispatcher.ask(CascadedWanted(), timedelta(milliseconds=500))
-            if cascaded is not None:
-                cascade_age = (steady() - cascaded).total_seconds() * 1000
+            progress = await self._dispatcher.ask(ProgressWanted(), timedelta(milliseconds=500))
+            counts = progress.counts
+            if progress.cascaded is not None:
+                cascade_age = (steady() - progress.cascaded).total_seconds() * 1000
         contact = self._state.answered
         age = None if contact is None else (steady() - contact).total_seconds() * 1000
         return answer(
--- a/micadeal/controller/plan.py
+++ b/micadeal/controller/plan.py
@@ -676,7 +676,10 @@
             usable = [
                 room
                 for room in rooms.values()
+                # Nor where it failed: a pass would not place it there, so the same victim was
+                # started and stopped again in every pass.
                 if allowed(spec, room.machine_type, room.zone, room.spot)
+                and room.name not in job.errors
             ]
             for _ in range(tasks):
                 if left <= 0:
--- a/micadeal/placement/rooms.py
+++ b/micadeal/placement/rooms.py
@@ -118,10 +118,11 @@
 def rank(spec: Submission, room: Room, zones: Counter[str]) -> tuple[float, ...]:
     """Smaller is better.
 
-    Up before booting before wished; spot for what may use it, since it is cheaper and leaves the
-    ordinary machines to what must have them; the image there already, or being fetched, or nothing
-    else being fetched; zones with fewer tasks of the job; then the fullest machine, so that others
-    can empty and be returned.
+    Up before booting before wished; what takes no accelerators where none is left, since the cores
+    beside a free accelerator are needed for its work; spot for what may use it, since it is cheaper
+    and leaves the ordinary machines to what must have them; the image there already, or being
+    fetched, or nothing else being fetched; zones with fewer tasks of the job; then the fullest
+    machine, so that others can empty and be returned.
     """
     if spec.image in room.images:
         image = 0
@@ -136,8 +137,10 @@
     # What runs until it is cancelled pays for the empty rest of its machine all the time: it
     # shares one with its like before it looks for its image.
     alone = 1 if spec.shape is Shape.SERVICE and not room.bound_tasks else 0
+    strands = 1 if not spec.gpus and room.gpus > EPSILON else 0
     return (
         stage,
+        strands,
         kind,
         alone,
         image,
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -94,3 +94,20 @@
     cluster.on_report(report(1, shown, token=3), seconds(1), checkin=True)
     cluster.expire(seconds(100))
     assert [a.number for a in job.attempts[0]] == [3]
+
+
+def test_a_task_nobody_knows_of_stays_in_the_picture_until_it_is_gone() -> None:
+    """Guards limits and the worker's lease: a report that was held by a cut shows a task of ours
+    whose machine was taken to be silent past its lease, of a job that is over meanwhile."""
+    cluster, job, machine, attempt = started()
+    running = TaskReport("req-1/0", attempt.number, "running")
+    cluster.on_report(report(2, running), seconds(3), checkin=True)
+    cluster.expire(seconds(40))
+    assert machine.lost and not machine.attempts
+    cluster.job_gone(job.id, seconds(41))
+    assert job.id not in cluster.jobs
+    cluster.on_report(report(3, running), seconds(42), checkin=True)
+    assert [a.number for a in machine.attempts.values()] == [attempt.number]
+    assert [o.verb for o in cluster.stops_for(machine)] == [Verb.STOP]
+    cluster.on_report(report(1, session=2), seconds(44), checkin=True)
+    assert not machine.attempts and job.id not in cluster.jobs
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -21,7 +21,7 @@
 from micadeal.state.limits import Limits
 from micadeal.wire.codec import decode, encode
 from micadeal.wire.state import Drop, Put
-from micadeal.wire.users import Submission
+from micadeal.wire.users import Priority, Shape, Submission
 from tests.fakes.picture import Picture
 
 LIMITS = Limits(150, 25, 16, 8192)
@@ -210,3 +210,28 @@
     assert f"and {found.stuck_in_all - 20} more" in text
     assert "about to be taken by the cloud: i-000000" in text and "and 195 more" in text
     assert len(text.splitlines()) < 60
+
+
+def test_nothing_is_stopped_where_the_job_in_need_would_not_go() -> None:
+    """Guards against a task that is started and stopped again in every pass: production work
+    failed on a machine and keeps off it."""
+    picture = Picture(3, 0, 2)
+    for _ in range(3):
+        picture.submit(
+            shape=Shape.ARRAY, priority=Priority.LOW, spot_allowed=True, tasks=2, gpus=1.0,
+            team=picture.teams[0], spread=False, one_zone=False,
+        )  # fmt: skip
+    picture.scheduler.market.refused(Offer("box", "north", True), 0, picture.now)
+    picture.scheduler.market.refused(Offer("box", "south", True), 0, picture.now)
+    picture.scheduler.market.refused(Offer("box", "west", True), 0, picture.now)
+    picture.scheduler.run_pass(picture.now)
+    live = picture.submit(
+        shape=Shape.SERVICE, priority=Priority.PRODUCTION, spot_allowed=False, tasks=1, gpus=1.0,
+        team=picture.teams[1], spread=False, one_zone=False,
+    )  # fmt: skip
+    ordinary = [m.name for m in picture.cluster.machines.values() if not m.spot]
+    assert all(picture.cluster.machines[name].attempts for name in ordinary)
+    live.errors.update(ordinary[:1])
+    picture.scheduler.run_pass(picture.now)
+    killed = {entry[0] for _, victim in picture.scheduler.plan.kills for entry in victim.frees}
+    assert killed and ordinary[0] not in killed
