--- a/micadeal/jobs/model.py
+++ b/micadeal/jobs/model.py
@@ -99,8 +99,11 @@
 
     @property
     def order(self) -> tuple[int, timedelta, str]:
-        """In-team order by default: priority, then the time from which it could run."""
-        return (self.rank, self.ready, self.spec.job_id)
+        """In-team order by default: priority, then the time from which it could run, or should have
+        run for what follows to be in time."""
+        start = self.latest_start
+        since = self.ready if start is None else min(self.ready, start)
+        return (self.rank, since, self.spec.job_id)
 
     @property
     def resource(self) -> str:
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -7,7 +7,16 @@
 import curio
 import pytest
 
+from micadeal.clock import seconds, steady, wall
+from micadeal.controller.cluster import Cluster
+from micadeal.jobs.model import Job
+from micadeal.jobs.pipeline import End
+from micadeal.operator.policy import Policy, TeamPolicy
+from micadeal.wire.state import EndRecord
+from micadeal.wire.users import Priority, Shape, Status
+from tests.fakes.picture import WORKERS, Picture
 from tests.fakes.world import COMING, World
+from tests.test_parts import spec
 
 SMALL: dict[str, Any] = {"image_gb": 0.1, "accelerators": 0.0, "run_s": 5.0}
 
@@ -234,3 +243,95 @@
         assert await said(["req-999998"]) == 503
 
     World().play(monkeypatch, story)
+
+
+def _job(number: int, *needs: int, submitted: float = 0.0, **fields: Any) -> Job:
+    names = [f"req-{n}" for n in needs]
+    return Job(
+        spec(job_id=f"req-{number}", prerequisites=names, **fields), seconds(submitted), number
+    )
+
+
+def _cluster(*jobs: Job) -> Cluster:
+    cluster = Cluster(7, WORKERS, {}, seconds(0))
+    for job in jobs:
+        cluster.add_job(job)
+    return cluster
+
+
+@pytest.mark.parametrize("order", [(0, 1, 2, 3), (3, 2, 1, 0), (2, 0, 3, 1)])
+def test_priority_and_deadline_reach_the_first_job_in_whatever_order_they_become_known(
+    order: tuple[int, ...],
+) -> None:
+    """Guards priority after a change of leaders, and for a last job that is submitted late."""
+    jobs = [
+        _job(1, priority=Priority.LOW, estimate_s=10.0),
+        _job(2, 1, priority=Priority.STANDARD, estimate_s=20.0),
+        _job(3, 1, priority=Priority.LOW, estimate_s=40.0),
+        _job(4, 2, 3, priority=Priority.HIGH, estimate_s=5.0, deadline_s=200.0, submitted=30.0),
+    ]
+    cluster = _cluster(*(jobs[n] for n in order))
+    assert [job.rank for job in jobs] == [1, 1, 1, 1]
+    assert [job.lifted_by for job in jobs] == ["req-4", "req-4", "req-4", None]
+    latest = [job.latest.total_seconds() if job.latest else None for job in jobs]
+    assert latest == [185.0, 225.0, 225.0, 230.0]
+    # What should have begun by now goes before what came a little earlier.
+    jobs[1].ready = jobs[2].ready = seconds(210)
+    assert sorted(jobs[1:3], key=lambda job: job.order) == [jobs[2], jobs[1]]
+    # Without the last one they are what they were.
+    cluster.job_gone("req-4", seconds(50))
+    assert [job.rank for job in jobs[:3]] == [2, 2, 3]
+    assert jobs[2].latest is None
+
+
+def test_times_count_from_the_recorded_end_of_the_last_job_needed() -> None:
+    """Guards waits and order after a change of leaders: what they need is in the records."""
+    first, second = _job(1), _job(2)
+    third = _job(3, 1, 2, submitted=-100.0)
+    cluster = _cluster(third, first, second)
+    now = steady()
+    told = wall().timestamp()
+    assert third.blocked and third.waiting_count() == 0 and third.next_waiting() is None
+    cluster.job_ended("req-2", EndRecord(Status.DONE, 1, told - 20.0), now)
+    assert third.blocked
+    cluster.job_ended("req-1", EndRecord(Status.DONE, 1, told - 50.0), now)
+    assert not third.blocked and third.waiting_count() == third.spec.tasks
+    assert abs((now - third.ready).total_seconds() - 20.0) < 0.5
+    # The next leader never knew them: it asks for their ends, and comes to the same.
+    later = _job(3, 1, 2, submitted=-100.0)
+    other = _cluster(later)
+    assert sorted(other.pipelines.unread(now)) == ["req-1", "req-2"]
+    for name, age in (("req-1", 50.0), ("req-2", 20.0)):
+        other.job_ended(name, EndRecord(Status.DONE, 1, told - age), now)
+    assert not later.blocked
+    assert abs((now - later.ready).total_seconds() - 20.0) < 0.5
+    assert other.pipelines.unread(now) == []
+
+
+def test_records_that_form_a_circle_do_no_harm() -> None:
+    """Guards against damaged records: names can't form a circle, but what is stored could."""
+    one, two = _job(1, 2, deadline_s=50.0, estimate_s=3.0), _job(2, 1, estimate_s=3.0)
+    cluster = _cluster(one, two)
+    assert one.blocked and two.blocked
+    cluster.pipelines.ended("req-2", End(False, seconds(1)))
+    assert set(cluster.pipelines.doomed) == {"req-1", "req-2"}
+
+
+def test_a_job_that_waits_has_no_demand_and_is_none_of_the_running_jobs() -> None:
+    picture = Picture(6, 0, 4, teams=1)
+    team = picture.teams[0]
+    fields: dict[str, Any] = {
+        "shape": Shape.ARRAY, "team": team, "gpus": 0.0, "cpus": 4.0, "spot_allowed": True,
+        "priority": Priority.LOW, "tasks": 3, "one_zone": False, "spread": False,
+    }  # fmt: skip
+    picture.scheduler.policy = Policy(teams={team: TeamPolicy(running_jobs=1)})
+    before = picture.submit(**fields)
+    waits = picture.submit(**fields, prerequisites=[before.id, "req-999"])
+    picture.scheduler.run_pass(picture.now)
+    plan = picture.scheduler.plan
+    assert len(before.attempts) == 3 and not waits.attempts
+    assert plan.teams["cpus"][team].demand == 12.0
+    picture.cluster.job_ended("req-999", EndRecord(Status.DONE, 1, 0.0), picture.now)
+    picture.cluster.job_ended(before.id, EndRecord(Status.DONE, 3, 0.0), picture.now)
+    picture.scheduler.run_pass(picture.now)
+    assert len(waits.attempts) == 3
