--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import base64
 import hashlib
 from typing import Any
 
@@ -10,9 +9,9 @@
 import msgspec
 import pytest
 
-from micadeal.clock import seconds
+from micadeal.clock import ZERO, seconds
 from micadeal.controller.records import Recorder
-from micadeal.jobs.model import CHUNK, SMALL_CHUNK, to_bits
+from micadeal.jobs.model import CHUNK, SMALL_CHUNK, Job, to_bits
 from micadeal.jobs.stored import part_keys, split, whole
 from micadeal.state.limits import Limits
 from micadeal.wire import mesh
@@ -23,6 +22,7 @@
 from tests.fakes.picture import Picture
 from tests.fakes.world import COMING, World
 from tests.fakes.written_before import WRITTEN
+from tests.test_parts import spec
 
 KINDS: dict[str, Any] = {
     "leader": records.LeaderRecord,
@@ -138,23 +138,16 @@
         leader = world.leader()
         assert leader is not None
         world.crash(leader)
-        small = {
-            int(key.rpartition("/")[2]): base64.b64decode(value[0]["bits"])
-            for key, value in world.state.keys.items()
-            if key.startswith(f"finished/{big}/")
-        }
-        stored = [
-            index
-            for index in range(30_000)
-            if (place := index % SMALL_CHUNK >> 3)
-            < len(bits := small.get(index // SMALL_CHUNK, b""))
-            and bits[place] >> (index & 7) & 1
-        ]
-        assert len(stored) > len(small)
+        read = Job(spec(tasks=30_000), ZERO, 1)
+        small = [key for key in world.state.keys if key.startswith(f"finished/{big}/")]
+        for key in small:
+            bits = world.state.keys[key][0]["bits"]
+            read.load_bits(int(key.rpartition("/")[2]) * SMALL_CHUNK, bits)
+        assert len(read.finished) > len(small)
         await curio.sleep(5)
         await world.start(leader)
         await world.until_done(big)
-        assert all(world.starts[f"{big}/{index}"] <= 1 for index in stored)
+        assert all(world.starts[f"{big}/{index}"] <= 1 for index in read.finished)
         assert not any(world.starts[f"{big}/{index}"] for index in there)
         await curio.sleep(30)
         assert not [k for k in world.state.keys if k.startswith(("done/", "finished/", "part/"))]
