--- a/micadeal/controller/cluster.py
+++ b/micadeal/controller/cluster.py
@@ -546,13 +546,11 @@
                 entry[1] += count * job.spec.gpus
         return {name: (entry[0], entry[1]) for name, entry in used.items()}
 
-    def held(self, offer: Offer) -> int:
-        """Machines that we have of an offer."""
-        return sum(
-            1
+    def held(self) -> Counter[Offer]:
+        """Machines that we have of each offer."""
+        return Counter(
+            Offer(machine.machine_type, machine.zone, machine.spot)
             for machine in self.machines.values()
-            if (machine.machine_type, machine.zone, machine.spot)
-            == (offer.machine_type, offer.zone, offer.spot)
         )
 
     def zones_of(self, job: Job) -> Counter[str]:
--- a/micadeal/controller/delay.py
+++ b/micadeal/controller/delay.py
@@ -14,7 +14,7 @@
 from micadeal.controller.cluster import Cluster
 from micadeal.fleet.model import Machine
 from micadeal.jobs.model import Job
-from micadeal.placement.rooms import EPSILON, Room, allowed
+from micadeal.placement.rooms import Room, allowed, fits_into, size_of
 from micadeal.wire.users import Submission
 
 #: A job waits for this share of the time that its fetch would take.
@@ -62,7 +62,7 @@
     def _rate(self, spec: Submission) -> float:
         """Tasks per second that are likely to end and to leave room for one of this size on a
         machine that holds its image."""
-        key = (spec.image, spec.cpus, spec.gpus, spec.memory_gb, spec.spot_allowed, spec.zone)
+        key = (spec.image, *size_of(spec))
         known = self._rates.get(key)
         if known is not None:
             return known
@@ -74,11 +74,11 @@
             for attempt in machine.attempts.values():
                 job = self._cluster.jobs[attempt.job_id]
                 left = job.spec
-                if (
-                    not job.is_service
-                    and left.gpus + shape.gpus + EPSILON >= spec.gpus
-                    and left.cpus + shape.cpus + EPSILON >= spec.cpus
-                    and left.memory_gb + shape.memory_gb + EPSILON >= spec.memory_gb
+                if not job.is_service and fits_into(
+                    spec,
+                    left.cpus + shape.cpus,
+                    left.gpus + shape.gpus,
+                    left.memory_gb + shape.memory_gb,
                 ):
                     rate += 1.0 / max(left.estimate_s, 1.0)
         self._rates[key] = rate
--- a/micadeal/controller/dispatcher.py
+++ b/micadeal/controller/dispatcher.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from datetime import timedelta
 from typing import Any
 
@@ -14,6 +14,29 @@
 from micadeal.clock import ZERO, seconds, sleep, steady, steady_at
 from micadeal.controller.cluster import Cluster, HigherToken
 from micadeal.controller.effort import Effort
+from micadeal.controller.messages import (
+    CancelNotice,
+    CatalogRead,
+    DirectAnswer,
+    EndRead,
+    Extended,
+    JobEvents,
+    JobsRead,
+    ListRead,
+    Loaded,
+    NewSettings,
+    OverviewWanted,
+    PeerNews,
+    Progress,
+    ProgressWanted,
+    ReleaseAnswer,
+    RentalAnswer,
+    Reply,
+    ReportIn,
+    Tick,
+    WhyWanted,
+    Written,
+)
 from micadeal.controller.records import DONE, FINISHED, IMAGES, PLACED, Changes, Recorder
 from micadeal.controller.scheduler import Scheduler
 from micadeal.fleet.cloud import LIST_EVERY, Cloud, CloudError, NoCapacity
@@ -28,9 +51,8 @@
 from micadeal.operator.policy import Policy
 from micadeal.operator.script import policy_from_values
 from micadeal.state.service import Conflict, Refused, StateError, StateService, TooOld, Urgency
-from micadeal.wire.cloud import ListedMachine, MachineType, RentalRequest
+from micadeal.wire.cloud import MachineType, RentalRequest
 from micadeal.wire.codec import BadMessage, convert, decode, encode
-from micadeal.wire.mesh import Counts
 from micadeal.wire.state import (
     Condition,
     EndRecord,
@@ -63,147 +85,6 @@
 OLD_PLACED = "machine/"
 
 
-# -- messages --------------------------------------------------------------------------------
-
-
-@dataclass(frozen=True, slots=True)
-class ReportIn:
-    report: Report
-
-
-@dataclass(frozen=True, slots=True)
-class DirectAnswer:
-    """A worker's report in answer to a direct command."""
-
-    report: Report
-
-
-@dataclass(frozen=True, slots=True)
-class Extended:
-    valid_until: timedelta
-
-
-@dataclass(frozen=True, slots=True)
-class PeerNews:
-    peers: tuple[PeerContact | None, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Loaded:
-    """All that the state service held when the term began."""
-
-    jobs: list[Item]
-    placed: list[Item]
-    images: list[Item]
-    finished: list[Item]
-    parts: list[Item]
-    ended: dict[str, EndRecord]
-    settings: Item | None
-
-
-@dataclass(frozen=True, slots=True)
-class JobEvents:
-    events: list[Event]
-    asked: timedelta
-    #: Of jobs among them whose description is split.
-    parts: dict[str, Item]
-
-
-@dataclass(frozen=True, slots=True)
-class JobsRead:
-    """All jobs read anew, after a watch had lost its place."""
-
-    items: list[Item]
-    asked: timedelta
-    parts: dict[str, Item]
-
-
-@dataclass(frozen=True, slots=True)
-class NewSettings:
-    item: Item | None
-
-
-@dataclass(frozen=True, slots=True)
-class CancelNotice:
-    job_id: str
-
-
-@dataclass(frozen=True, slots=True)
-class EndRead:
-    """The end of a job that others wait for; None: there is none, or it can't be read."""
-
-    job_id: str
-    end: EndRecord | None
-
-
-@dataclass(frozen=True, slots=True)
-class CatalogRead:
-    types: list[MachineType]
-
-
-@dataclass(frozen=True, slots=True)
-class ListRead:
-    machines: list[ListedMachine]
-
-
-@dataclass(frozen=True, slots=True)
-class RentalAnswer:
-    request: RentalRequest
-    names: list[str] | None
-
-
-@dataclass(frozen=True, slots=True)
-class ReleaseAnswer:
-    names: list[str]
-    done: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Written:
-    changes: Changes
-    #: The revision; None: the outcome is unknown.
-    revision: int | None
-    #: What the service holds, read after an unknown or failed outcome.
-    found: dict[str, Item | None] | None
-    #: The service called it too large.
-    refused: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Tick:
-    pass
-
-
-@dataclass(frozen=True, slots=True)
-class ProgressWanted:
-    """For the desks of all controllers; answered with ``Progress``."""
-
-
-@dataclass(frozen=True, slots=True)
-class Progress:
-    counts: list[Counts]
-    #: All jobs that need one that was cancelled before this instant are recorded cancelled.
-    cascaded: timedelta | None
-
-
-@dataclass(frozen=True, slots=True)
-class WhyWanted:
-    job_id: str
-
-
-@dataclass(frozen=True, slots=True)
-class OverviewWanted:
-    pass
-
-
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """To a worker: status and body."""
-
-    status: int
-    body: Any = None
-
-
 class Dispatcher(Actor):
     """Exists for one term.  ``resign`` is called when another leader is found to exist."""
 
--- /dev/null
+++ b/micadeal/controller/messages.py
@@ -0,0 +1,152 @@
+"""What the leader's actor is told and asked."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+from micadeal.controller.records import Changes
+from micadeal.leadership.term import PeerContact
+from micadeal.wire.cloud import ListedMachine, MachineType, RentalRequest
+from micadeal.wire.mesh import Counts
+from micadeal.wire.state import EndRecord, Event, Item
+from micadeal.wire.workers import Report
+
+
+@dataclass(frozen=True, slots=True)
+class ReportIn:
+    report: Report
+
+
+@dataclass(frozen=True, slots=True)
+class DirectAnswer:
+    """A worker's report in answer to a direct command."""
+
+    report: Report
+
+
+@dataclass(frozen=True, slots=True)
+class Extended:
+    valid_until: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class PeerNews:
+    peers: tuple[PeerContact | None, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Loaded:
+    """All that the state service held when the term began."""
+
+    jobs: list[Item]
+    placed: list[Item]
+    images: list[Item]
+    finished: list[Item]
+    parts: list[Item]
+    ended: dict[str, EndRecord]
+    settings: Item | None
+
+
+@dataclass(frozen=True, slots=True)
+class JobEvents:
+    events: list[Event]
+    asked: timedelta
+    #: Of jobs among them whose description is split.
+    parts: dict[str, Item]
+
+
+@dataclass(frozen=True, slots=True)
+class JobsRead:
+    """All jobs read anew, after a watch had lost its place."""
+
+    items: list[Item]
+    asked: timedelta
+    parts: dict[str, Item]
+
+
+@dataclass(frozen=True, slots=True)
+class NewSettings:
+    item: Item | None
+
+
+@dataclass(frozen=True, slots=True)
+class CancelNotice:
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndRead:
+    """The end of a job that others wait for; None: there is none, or it can't be read."""
+
+    job_id: str
+    end: EndRecord | None
+
+
+@dataclass(frozen=True, slots=True)
+class CatalogRead:
+    types: list[MachineType]
+
+
+@dataclass(frozen=True, slots=True)
+class ListRead:
+    machines: list[ListedMachine]
+
+
+@dataclass(frozen=True, slots=True)
+class RentalAnswer:
+    request: RentalRequest
+    names: list[str] | None
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseAnswer:
+    names: list[str]
+    done: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Written:
+    changes: Changes
+    #: The revision; None: the outcome is unknown.
+    revision: int | None
+    #: What the service holds, read after an unknown or failed outcome.
+    found: dict[str, Item | None] | None
+    #: The service called it too large.
+    refused: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class ProgressWanted:
+    """For the desks of all controllers; answered with ``Progress``."""
+
+
+@dataclass(frozen=True, slots=True)
+class Progress:
+    counts: list[Counts]
+    #: All jobs that need one that was cancelled before this instant are recorded cancelled.
+    cascaded: timedelta | None
+
+
+@dataclass(frozen=True, slots=True)
+class WhyWanted:
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class OverviewWanted:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """To a worker: status and body."""
+
+    status: int
+    body: Any = None
--- a/micadeal/controller/node.py
+++ b/micadeal/controller/node.py
@@ -11,10 +11,10 @@
 
 from micadeal.actor import Overloaded, keep_running
 from micadeal.clock import seconds, sleep, steady, wall
-from micadeal.controller.dispatcher import (
-    SETTINGS,
+from micadeal.controller.dispatcher import SETTINGS, Dispatcher
+from micadeal.controller.mesh import Mesh
+from micadeal.controller.messages import (
     CancelNotice,
-    Dispatcher,
     Extended,
     OverviewWanted,
     PeerNews,
@@ -23,7 +23,6 @@
     ReportIn,
     WhyWanted,
 )
-from micadeal.controller.mesh import Mesh
 from micadeal.fleet.cloud import Cloud, CloudError
 from micadeal.fleet.gate import Gate, Way
 from micadeal.http.message import Answer, HttpError, Request, answer, error
--- a/micadeal/controller/plan.py
+++ b/micadeal/controller/plan.py
@@ -14,7 +14,8 @@
 
 from micadeal.controller.cluster import Cluster
 from micadeal.controller.delay import Delay
-from micadeal.fleet.model import Attempt, Machine, MachineShape
+from micadeal.controller.relief import Relief
+from micadeal.controller.space import build_rooms, empty_room
 from micadeal.fleet.offers import Market, Offer
 from micadeal.jobs.model import Job
 from micadeal.operator.policy import Policy
@@ -26,12 +27,13 @@
     allowed,
     choose_gang,
     rank,
+    size_of,
     worth_it,
 )
 from micadeal.sharing.order import team_key
-from micadeal.sharing.shares import Claim, fair_shares
+from micadeal.sharing.shares import Claim, booked, fair_shares
 from micadeal.sharing.starvation import StarvationTimer
-from micadeal.sharing.victims import Victim, choose_victims, may_kill
+from micadeal.sharing.victims import Victim
 from micadeal.wire.cloud import MachineType
 from micadeal.wire.state import PlacedTask
 from micadeal.wire.users import Submission
@@ -42,10 +44,6 @@
 WAITS_FOR_IMAGE = "waits a little for a machine that holds its image"
 #: New machines wished for in one pass, however much waits.
 MOST_WISHES = 200
-#: Tasks for which victims are chosen in one pass; the next pass goes on.
-MOST_KILLED_FOR = 24
-#: A machine that has not been heard of for so many report intervals gets no new work.
-SILENT_REPORTS = 2.6
 
 
 @dataclass(slots=True)
@@ -82,107 +80,6 @@
     images: frozenset[str] = frozenset()
 
 
-def booked(amounts: tuple[float, float], resource: str) -> float:
-    """One resource of a team's (cores, accelerators)."""
-    return amounts[1] if resource == "gpus" else amounts[0]
-
-
-def build_rooms(cluster: Cluster, now: timedelta, pending: Counter[Offer]) -> list[Room]:
-    """Rooms of machines that are up or booting, and of those asked for but not answered yet."""
-    silence = cluster.workers.report * SILENT_REPORTS
-    rooms: list[Room] = []
-    for machine in cluster.machines.values():
-        kind = cluster.types.get(machine.machine_type)
-        if kind is None or machine.leaving or machine.lost or machine.notice_end is not None:
-            continue
-        usable = machine.usable(now, silence)
-        if not usable and machine.up and machine.knows_us:
-            continue
-        rooms.append(_room(cluster, machine, kind, usable, len(rooms)))
-    for offer, count in pending.items():
-        kind = cluster.types.get(offer.machine_type)
-        if kind is not None:
-            for number in range(count):
-                name = f"asked for {offer.zone} {offer.spot} {number}"
-                rooms.append(_empty_room(name, offer, kind, len(rooms), wish=False))
-    return rooms
-
-
-def _empty_room(name: str, offer: Offer, kind: MachineType, order: int, wish: bool) -> Room:
-    return Room(
-        name,
-        offer.machine_type,
-        offer.zone,
-        offer.spot,
-        kind.cpus,
-        kind.gpus,
-        kind.memory_gb,
-        up=False,
-        wish=wish,
-        order=order,
-    )
-
-
-def _room(cluster: Cluster, machine: Machine, kind: MachineType, usable: bool, order: int) -> Room:
-    shape = machine.shape
-    if shape is None:
-        # Derived anew only when something on the machine has changed (``Cluster`` clears it).
-        shape = machine.shape = _shape(cluster, machine, kind)
-    return Room(
-        machine.name,
-        machine.machine_type,
-        machine.zone,
-        machine.spot,
-        shape.cpus,
-        shape.gpus,
-        shape.memory_gb,
-        usable,
-        False,
-        shape.images,
-        shape.fetching,
-        shape.tasks,
-        shape.bound_tasks,
-        0,
-        order,
-    )
-
-
-def _shape(cluster: Cluster, machine: Machine, kind: MachineType) -> MachineShape:
-    cpus, gpus, memory = kind.cpus, kind.gpus, kind.memory_gb
-    bound = 0
-    fetching: set[str] = set()
-    for attempt in machine.attempts.values():
-        spec = cluster.jobs[attempt.job_id].spec
-        cpus -= spec.cpus
-        gpus -= spec.gpus
-        memory -= spec.memory_gb
-        if not spec.spot_allowed:
-            bound += 1
-        if attempt.running_since is None and spec.image in machine.images:
-            fetching.add(spec.image)
-    return MachineShape(
-        cpus,
-        gpus,
-        memory,
-        len(machine.attempts),
-        bound,
-        frozenset(_in_cache(cluster, machine, kind) - fetching),
-        frozenset(fetching),
-    )
-
-
-def _in_cache(cluster: Cluster, machine: Machine, kind: MachineType) -> set[str]:
-    """Images that the machine still holds, as far as sizes seen in jobs tell."""
-    kept: set[str] = set()
-    total = 0.0
-    for image in sorted(machine.images, key=lambda name: machine.images[name], reverse=True):
-        total += cluster.image_sizes.get(image, 0.0)
-        if total > kind.cache_gb > 0:
-            break
-        kept.add(image)
-    return kept
-
-
 def _left(room: Room, resource: str) -> float:
     return room.gpus if resource == "gpus" else room.cpus
 
@@ -191,12 +88,6 @@
     return room.order
 
 
-def _size(spec: Submission) -> tuple[object, ...]:
-    """What decides into which rooms a task may go, but for the other tasks of its job."""
-    types = None if spec.machine_types is None else tuple(spec.machine_types)
-    return (spec.cpus, spec.gpus, spec.memory_gb, spec.zone, spec.spot_allowed, types)
-
-
 class Pass:
     """The state of one pass."""
 
@@ -223,10 +114,7 @@
         self.pending = pending
         self.rooms = build_rooms(cluster, now, pending)
         self.present = Counter(room.zone for room in self.rooms)
-        self.held = Counter(
-            Offer(machine.machine_type, machine.zone, machine.spot)
-            for machine in cluster.machines.values()
-        )
+        self.held = cluster.held()
         #: Rooms with something left of the resource that is being handed out.
         self.open: list[Room] = []
         #: For jobs that are being asked: what they choose from.
@@ -275,7 +163,7 @@
         for room in self.rooms:
             if room.booked and not room.wish and not room.up:
                 self.plan.held.add(room.name)
-        self._pick_victims()
+        Relief(self).pick()
         return self.plan
 
     # -- demand ----------------------------------------------------------------------------
@@ -400,7 +288,7 @@
         if picker is not None:
             return picker
         spec = job.spec
-        size = _size(spec)
+        size = size_of(spec)
         first, shared = self._nothing.get(size, (0, self._shared))
         if shared != self._shared and spec.spot_allowed:
             first = 0
@@ -500,7 +388,7 @@
             job.reasons[reason] += spec.tasks
             return 0.0
         rooms = self._open_rooms(job)
-        size = (*_size(spec), spec.tasks, spec.one_zone, spec.spread)
+        size = (*size_of(spec), spec.tasks, spec.one_zone, spec.spread)
         found = None
         if job.errors or self._nothing.get(size) != (len(self.rooms), self._shared):
             self.looked_at += len(rooms)
@@ -552,7 +440,7 @@
 
     def _new_room(self, offer: Offer, kind: MachineType) -> Room:
         name = f"wish {offer.zone} {self.wishes} {len(self.rooms)}"
-        return _empty_room(name, offer, kind, len(self.rooms), wish=True)
+        return empty_room(name, offer, kind, len(self.rooms), wish=True)
 
     def _held(self, offer: Offer) -> int:
         """Machines that we have of an offer, or ask for in this pass."""
@@ -649,181 +537,3 @@
         shared = room.up and (room.bound_tasks > 0 or work.spec.spot_allowed)
         images = len(room.images & work.images) if room.up else 0
         return (0 if shared else 1, 0 if room.up else 1, -images, *rank(work.spec, room, NO_ZONES))
-
-    # -- victims ---------------------------------------------------------------------------
-
-    def _pick_victims(self) -> None:
-        usage = self.cluster.usage()
-        needy = self._needy(usage)
-        if not needy:
-            return
-        rooms, victims = self._victims()
-        kept = self._kept_for_bound()
-        hopeless: set[tuple[object, ...]] = set()
-        left = MOST_KILLED_FOR
-        for job, tasks, for_guarantee, resource in needy:
-            spec = job.spec
-            like = (spec.team, job.rank, for_guarantee, *_size(spec))
-            if like in hopeless:
-                # Nothing could be done for a task like this one, and in a pass room only shrinks.
-                continue
-            states = self.plan.teams[resource]
-            # What runs, not what is held for later: only that can be given back.
-            surplus = {
-                name: booked(usage[name], resource) - state.minimum
-                for name, state in states.items()
-            }
-            rule = ZoneRule(job.spec, self.cluster.zones_of(job))
-            usable = [
-                room
-                for room in rooms.values()
-                # Nor where it failed: a pass would not place it there, so the same victim was
-                # started and stopped again in every pass.
-                # The same held for an ordinary machine on which only the victims are bound to such.
-                if allowed(spec, room.machine_type, room.zone, room.spot)
-                and room.name not in job.errors
-                and (room.spot or not spec.spot_allowed or self.spot_scarce or room.name in kept)
-            ]
-            for _ in range(tasks):
-                if left <= 0:
-                    return
-                chosen = self._victims_for(
-                    job, rule, usable, rooms, victims, for_guarantee, surplus
-                )
-                if chosen is None:
-                    if all(map(rule.permits, self.present)):
-                        hopeless.add(like)
-                    break
-                for victim in chosen:
-                    self.plan.kills.append((job.id, victim))
-                    for machine in {entry[0] for entry in victim.frees}:
-                        victims[machine] = [v for v in victims[machine] if v is not victim]
-                left -= bool(chosen)
-
-    def _kept_for_bound(self) -> set[str]:
-        """Machines with work that must be on an ordinary one and that nothing is stopped for."""
-        kept: set[str] = set()
-        for job in self.cluster.live_jobs():
-            if (job.production or job.is_service) and not job.spec.spot_allowed:
-                kept |= {attempt.machine for attempt in job.all_attempts() if attempt.stop is None}
-        return kept
-
-    def _needy(self, usage: dict[str, tuple[float, float]]) -> list[tuple[Job, int, bool, str]]:
-        """Jobs for which something may be killed, how many tasks, and whether for a guarantee."""
-        result: list[tuple[Job, int, bool, str]] = []
-        lacking: dict[tuple[str, str], tuple[float, bool]] = {}
-        for resource, states in self.plan.teams.items():
-            for name, state in states.items():
-                timer = self.timers.setdefault(
-                    (name, resource), StarvationTimer(self.now, self.now)
-                )
-                used = booked(usage[name], resource)
-                team = self.policy.team(name)
-                timer.update(self.now, used, state.demand, state.minimum, state.share)
-                lacking[name, resource] = timer.lacks(
-                    self.now,
-                    used,
-                    state.demand,
-                    state.minimum,
-                    state.share,
-                    team.minimum_timeout or self.policy.minimum_timeout,
-                    self.policy.share_timeout,
-                )
-        seen: set[str] = set()
-        for job in self.unplaced:
-            if job.id in seen or (job.is_gang and job.spec.tasks > 1):
-                continue
-            seen.add(job.id)
-            count = job.waiting_count()
-            units, for_guarantee = lacking[job.spec.team, job.resource]
-            if job.production:
-                result.append((job, count, for_guarantee, job.resource))
-            elif units >= job.units - EPSILON:
-                tasks = min(count, int(units / job.units + EPSILON))
-                lacking[job.spec.team, job.resource] = (units - tasks * job.units, for_guarantee)
-                result.append((job, tasks, for_guarantee, job.resource))
-        return result
-
-    def _victims(self) -> tuple[dict[str, Room], dict[str, list[Victim]]]:
-        """Rooms as they will be when all that is stopping has stopped, and what could be killed."""
-        rooms = {
-            room.name: room for room in build_rooms(self.cluster, self.now, Counter()) if room.up
-        }
-        by_machine: dict[str, list[Victim]] = {}
-        for job in self.cluster.live_jobs():
-            if job.production or job.is_service:
-                groups: list[list[Attempt]] = []
-            elif job.is_gang:
-                groups = [list(job.all_attempts())]
-            else:
-                groups = [[attempt] for attempt in job.all_attempts()]
-            for group in groups:
-                running = [a for a in group if a.stop is None]
-                if not running:
-                    continue
-                victim = Victim(
-                    job.id,
-                    job.spec.team,
-                    job.rank,
-                    min(a.placed for a in running),
-                    tuple(
-                        (a.machine, job.spec.cpus, job.spec.gpus, job.spec.memory_gb)
-                        for a in running
-                    ),
-                    job.units * len(running),
-                    None if job.is_gang else running[0].index,
-                    job.can_save,
-                )
-                for name in {a.machine for a in running}:
-                    by_machine.setdefault(name, []).append(victim)
-        for machine in self.cluster.machines.values():
-            room = rooms.get(machine.name)
-            if room is None:
-                continue
-            for attempt in machine.attempts.values():
-                if attempt.stop is not None:
-                    room.unbook(self.cluster.jobs[attempt.job_id].spec)
-        return rooms, by_machine
-
-    def _victims_for(
-        self,
-        job: Job,
-        rule: ZoneRule,
-        usable: list[Room],
-        rooms: dict[str, Room],
-        victims: dict[str, list[Victim]],
-        for_guarantee: bool,
-        surplus: dict[str, float],
-    ) -> list[Victim] | None:
-        """Victims for one task; empty if room is about to be free; None if nothing can be done."""
-        spec = job.spec
-        open_rooms = [room for room in usable if rule.permits(room.zone)]
-        for room in open_rooms:
-            if room.fits(spec):
-                room.book(spec)
-                rule.zones[room.zone] += 1
-                return []
-        permitted = {
-            id(victim)
-            for offers in victims.values()
-            for victim in offers
-            if may_kill(victim, spec.team, job.rank, for_guarantee, surplus)
-        }
-        if not permitted:
-            return None
-        chosen = choose_victims(spec, open_rooms, victims, permitted)
-        if not chosen:
-            return None
-        for victim in chosen:
-            surplus[victim.team] = surplus.get(victim.team, 0.0) - victim.units
-            for machine, cpus, gpus, memory in victim.frees:
-                if (freed := rooms.get(machine)) is not None:
-                    freed.cpus += cpus
-                    freed.gpus += gpus
-                    freed.memory_gb += memory
-        for room in open_rooms:
-            if room.fits(spec):
-                room.book(spec)
-                rule.zones[room.zone] += 1
-                break
-        return chosen
--- a/micadeal/controller/records.py
+++ b/micadeal/controller/records.py
@@ -13,12 +13,12 @@
 import logging
 import zlib
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from micadeal.clock import seconds, wall
 from micadeal.controller.cluster import Cluster
-from micadeal.fleet.model import Attempt
+from micadeal.fleet.model import Attempt, Machine
 from micadeal.jobs.model import CHUNK, SMALL_CHUNK, Job, to_bits
 from micadeal.state.limits import Limits
 from micadeal.state.service import Urgency
@@ -76,6 +76,40 @@
     daring: bool = False
 
 
+@dataclass(slots=True)
+class _Chunk:
+    """Attempts that go into one value; sizes are counted from above."""
+
+    most: int
+    attempts: list[Attempt] = field(default_factory=list)
+    _names: set[str] = field(default_factory=set)
+    _size: int = 0
+
+    def takes(self, attempt: Attempt, machine: Machine) -> bool:
+        """Add one more, if there is room for it; the first one always goes in."""
+        size = _json_size(attempt.job_id) + 36
+        if machine.name not in self._names:
+            size += 70 + sum(
+                map(_json_size, (machine.name, machine.address, machine.machine_type, machine.zone))
+            )
+        if self.attempts and self._size + size > self.most:
+            return False
+        self.attempts.append(attempt)
+        self._names.add(machine.name)
+        self._size += size
+        return True
+
+    def takes_all(self, more: Iterable[tuple[Attempt, Machine]]) -> bool:
+        """Add all of them or none."""
+        count, names, size = len(self.attempts), set(self._names), self._size
+        for attempt, machine in more:
+            if not self.takes(attempt, machine):
+                del self.attempts[count:]
+                self._names, self._size = names, size
+                return False
+        return True
+
+
 class Recorder:
     """Chooses what to write next.
 
@@ -184,27 +218,19 @@
         return Changes(operations, self._conditions(operations), Urgency.PLACEMENT, tuple(placed))
 
     def _chunks(self, attempts: Iterable[Attempt]) -> Iterator[tuple[Attempt, ...]]:
-        """Attempts in parts that fit into a value each; sizes are counted from above."""
-        limit = self._limits.value_bytes - 64
-        chunk: list[Attempt] = []
-        names: set[str] = set()
-        size = 0
+        """Attempts in parts that fit into a value each."""
+        chunk = self._new_chunk()
         for attempt in attempts:
             machine = self._cluster.machines[attempt.machine]
-            needed = _json_size(attempt.job_id) + 36
-            head = 70 + sum(
-                map(_json_size, (machine.name, machine.address, machine.machine_type, machine.zone))
-            )
-            more = needed if machine.name in names else needed + head
-            if chunk and size + more > limit:
-                yield tuple(chunk)
-                chunk, names, size = [], set(), 0
-                more = needed + head
-            chunk.append(attempt)
-            names.add(machine.name)
-            size += more
-        if chunk:
-            yield tuple(chunk)
+            if not chunk.takes(attempt, machine):
+                yield tuple(chunk.attempts)
+                chunk = self._new_chunk()
+                chunk.takes(attempt, machine)
+        if chunk.attempts:
+            yield tuple(chunk.attempts)
+
+    def _new_chunk(self) -> _Chunk:
+        return _Chunk(self._limits.value_bytes - 64)
 
     def _record(self, attempts: Iterable[Attempt]) -> PlacedRecord:
         entries: dict[str, PlacedMachine] = {}
@@ -320,24 +346,23 @@
         Otherwise a new leader would have to ask for what is long gone.
         """
         records = self._cluster.records
-        rest: list[Attempt] = []
+        rest = self._new_chunk()
         for key, since in list(self._cluster.shrunk.items()):
             if len(operations) + 2 > most:
                 break
             left = records[key]
             if now - since < (LAZY if len(left) <= FEW else LAZY * 3):
                 continue
-            if left and len(list(self._chunks([*rest, *left]))) > 1:
-                if not rest:
+            if not rest.takes_all((a, self._cluster.machines[a.machine]) for a in left):
+                if not rest.attempts:
                     # It fills a value by itself: written anew it would be no shorter.
                     continue
                 break
-            rest += left
             operations.append(Drop(key))
-        if rest:
+        if rest.attempts:
             key = self._new_key()
-            operations.append(Put(key, self._record(rest)))
-            placed.append((key, tuple(rest)))
+            operations.append(Put(key, self._record(rest.attempts)))
+            placed.append((key, tuple(rest.attempts)))
 
     def _images(self, now: timedelta, operations: list[Put | Drop]) -> None:
         """One page of the images on machines, if one is due and has changed."""
@@ -396,8 +421,13 @@
                 self._cluster.record_gone(operation.key)
         for job_id, indexes in changes.finished:
             job = self._cluster.jobs.get(job_id)
-            if job is not None:
+            if job is not None and not job.over:
                 job.durable |= indexes
+                continue
+            for operation in changes.operations:
+                # The job has ended while this was under way: nothing else would drop it.
+                if operation.key.split("/")[1] == job_id:
+                    self.drop(operation.key)
 
     def failed(self, changes: Changes, found: dict[str, Item | None], now: timedelta) -> None:
         """Not executed, or unknown: ``found`` is what the service holds now."""
--- /dev/null
+++ b/micadeal/controller/relief.py
@@ -0,0 +1,206 @@
+"""Victims for what a pass could not place: for production at once, for starved teams by timers.
+
+The last step of a pass, over rooms as they will be when all that is stopping has stopped.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from micadeal.controller.space import build_rooms
+from micadeal.fleet.model import Attempt
+from micadeal.jobs.model import Job
+from micadeal.placement.rooms import EPSILON, Room, ZoneRule, allowed, size_of
+from micadeal.sharing.shares import booked
+from micadeal.sharing.starvation import StarvationTimer
+from micadeal.sharing.victims import Victim, choose_victims, may_kill
+
+if TYPE_CHECKING:
+    from micadeal.controller.plan import Pass
+
+#: Tasks for which victims are chosen in one pass; the next pass goes on.
+MOST_KILLED_FOR = 24
+
+
+class Relief:
+    """Reads what the pass has found, and adds to its plan whom to stop."""
+
+    def __init__(self, work: Pass) -> None:
+        self._pass = work
+
+    def pick(self) -> None:
+        usage = self._pass.cluster.usage()
+        needy = self._needy(usage)
+        if not needy:
+            return
+        rooms, victims = self._victims()
+        kept = self._kept_for_bound()
+        scarce = self._pass.spot_scarce
+        hopeless: set[tuple[object, ...]] = set()
+        left = MOST_KILLED_FOR
+        for job, tasks, for_guarantee, resource in needy:
+            spec = job.spec
+            like = (spec.team, job.rank, for_guarantee, *size_of(spec))
+            if like in hopeless:
+                # Nothing could be done for a task like this one, and in a pass room only shrinks.
+                continue
+            states = self._pass.plan.teams[resource]
+            # What runs, not what is held for later: only that can be given back.
+            surplus = {
+                name: booked(usage[name], resource) - state.minimum
+                for name, state in states.items()
+            }
+            rule = ZoneRule(job.spec, self._pass.cluster.zones_of(job))
+            usable = [
+                room
+                for room in rooms.values()
+                # Nor where it failed: a pass would not place it there, so the same victim was
+                # started and stopped again in every pass.
+                # The same held for an ordinary machine on which only the victims are bound to such.
+                if allowed(spec, room.machine_type, room.zone, room.spot)
+                and room.name not in job.errors
+                and (room.spot or not spec.spot_allowed or scarce or room.name in kept)
+            ]
+            for _ in range(tasks):
+                if left <= 0:
+                    return
+                chosen = self._victims_for(
+                    job, rule, usable, rooms, victims, for_guarantee, surplus
+                )
+                if chosen is None:
+                    if all(map(rule.permits, self._pass.present)):
+                        hopeless.add(like)
+                    break
+                for victim in chosen:
+                    self._pass.plan.kills.append((job.id, victim))
+                    for machine in {entry[0] for entry in victim.frees}:
+                        victims[machine] = [v for v in victims[machine] if v is not victim]
+                left -= bool(chosen)
+
+    def _kept_for_bound(self) -> set[str]:
+        """Machines with work that must be on an ordinary one and that nothing is stopped for."""
+        kept: set[str] = set()
+        for job in self._pass.cluster.live_jobs():
+            if (job.production or job.is_service) and not job.spec.spot_allowed:
+                kept |= {attempt.machine for attempt in job.all_attempts() if attempt.stop is None}
+        return kept
+
+    def _needy(self, usage: dict[str, tuple[float, float]]) -> list[tuple[Job, int, bool, str]]:
+        """Jobs for which something may be killed, how many tasks, and whether for a guarantee."""
+        result: list[tuple[Job, int, bool, str]] = []
+        lacking: dict[tuple[str, str], tuple[float, bool]] = {}
+        for resource, states in self._pass.plan.teams.items():
+            for name, state in states.items():
+                timer = self._pass.timers.setdefault(
+                    (name, resource), StarvationTimer(self._pass.now, self._pass.now)
+                )
+                used = booked(usage[name], resource)
+                team = self._pass.policy.team(name)
+                timer.update(self._pass.now, used, state.demand, state.minimum, state.share)
+                lacking[name, resource] = timer.lacks(
+                    self._pass.now,
+                    used,
+                    state.demand,
+                    state.minimum,
+                    state.share,
+                    team.minimum_timeout or self._pass.policy.minimum_timeout,
+                    self._pass.policy.share_timeout,
+                )
+        seen: set[str] = set()
+        for job in self._pass.unplaced:
+            if job.id in seen or (job.is_gang and job.spec.tasks > 1):
+                continue
+            seen.add(job.id)
+            count = job.waiting_count()
+            units, for_guarantee = lacking[job.spec.team, job.resource]
+            if job.production:
+                result.append((job, count, for_guarantee, job.resource))
+            elif units >= job.units - EPSILON:
+                tasks = min(count, int(units / job.units + EPSILON))
+                lacking[job.spec.team, job.resource] = (units - tasks * job.units, for_guarantee)
+                result.append((job, tasks, for_guarantee, job.resource))
+        return result
+
+    def _victims(self) -> tuple[dict[str, Room], dict[str, list[Victim]]]:
+        """Rooms as they will be when all that is stopping has stopped, and what could be killed."""
+        found = build_rooms(self._pass.cluster, self._pass.now, Counter())
+        rooms = {room.name: room for room in found if room.up}
+        by_machine: dict[str, list[Victim]] = {}
+        for job in self._pass.cluster.live_jobs():
+            if job.production or job.is_service:
+                groups: list[list[Attempt]] = []
+            elif job.is_gang:
+                groups = [list(job.all_attempts())]
+            else:
+                groups = [[attempt] for attempt in job.all_attempts()]
+            for group in groups:
+                running = [a for a in group if a.stop is None]
+                if not running:
+                    continue
+                victim = Victim(
+                    job.id,
+                    job.spec.team,
+                    job.rank,
+                    min(a.placed for a in running),
+                    tuple(
+                        (a.machine, job.spec.cpus, job.spec.gpus, job.spec.memory_gb)
+                        for a in running
+                    ),
+                    job.units * len(running),
+                    None if job.is_gang else running[0].index,
+                    job.can_save,
+                )
+                for name in {a.machine for a in running}:
+                    by_machine.setdefault(name, []).append(victim)
+        for machine in self._pass.cluster.machines.values():
+            room = rooms.get(machine.name)
+            if room is None:
+                continue
+            for attempt in machine.attempts.values():
+                if attempt.stop is not None:
+                    room.unbook(self._pass.cluster.jobs[attempt.job_id].spec)
+        return rooms, by_machine
+
+    def _victims_for(
+        self,
+        job: Job,
+        rule: ZoneRule,
+        usable: list[Room],
+        rooms: dict[str, Room],
+        victims: dict[str, list[Victim]],
+        for_guarantee: bool,
+        surplus: dict[str, float],
+    ) -> list[Victim] | None:
+        """Victims for one task; empty if room is about to be free; None if nothing can be done."""
+        spec = job.spec
+        open_rooms = [room for room in usable if rule.permits(room.zone)]
+        for room in open_rooms:
+            if room.fits(spec):
+                room.book(spec)
+                rule.zones[room.zone] += 1
+                return []
+        permitted = {
+            id(victim)
+            for offers in victims.values()
+            for victim in offers
+            if may_kill(victim, spec.team, job.rank, for_guarantee, surplus)
+        }
+        if not permitted:
+            return None
+        chosen = choose_victims(spec, open_rooms, victims, permitted)
+        if not chosen:
+            return None
+        for victim in chosen:
+            surplus[victim.team] = surplus.get(victim.team, 0.0) - victim.units
+            for machine, cpus, gpus, memory in victim.frees:
+                if (freed := rooms.get(machine)) is not None:
+                    freed.cpus += cpus
+                    freed.gpus += gpus
+                    freed.memory_gb += memory
+        for room in open_rooms:
+            if room.fits(spec):
+                room.book(spec)
+                rule.zones[room.zone] += 1
+                break
+        return chosen
--- a/micadeal/controller/scheduler.py
+++ b/micadeal/controller/scheduler.py
@@ -11,7 +11,8 @@
 
 from micadeal.clock import ZERO, seconds
 from micadeal.controller.cluster import Cluster, grace_to_save
-from micadeal.controller.plan import SILENT_REPORTS, Expected, Pass, Plan
+from micadeal.controller.plan import Expected, Pass, Plan
+from micadeal.controller.space import SILENT_REPORTS
 from micadeal.fleet.model import Attempt, Machine
 from micadeal.fleet.offers import Market, Offer
 from micadeal.jobs.model import Job
@@ -183,13 +184,13 @@
                     name, "", request.machine_type, request.zone, request.spot, now, now
                 )
         if len(names) < request.count:
-            self.market.refused(offer, self.cluster.held(offer), now)
+            self.market.refused(offer, self.cluster.held()[offer], now)
         self.cluster.changed = True
 
     def rental_refused(self, request: RentalRequest, now: timedelta) -> None:
         offer = Offer(request.machine_type, request.zone, request.spot)
         self.rentals.pop(offer, None)
-        self.market.refused(offer, self.cluster.held(offer), now)
+        self.market.refused(offer, self.cluster.held()[offer], now)
         self.cluster.changed = True
 
     def released(self, names: Iterable[str], now: timedelta) -> None:
--- a/micadeal/placement/rooms.py
+++ b/micadeal/placement/rooms.py
@@ -19,6 +19,21 @@
 EPSILON = 1e-6
 
 
+def fits_into(spec: Submission, cpus: float, gpus: float, memory_gb: float) -> bool:
+    """Whether these amounts hold a task."""
+    return (
+        spec.gpus <= gpus + EPSILON
+        and spec.cpus <= cpus + EPSILON
+        and spec.memory_gb <= memory_gb + EPSILON
+    )
+
+
+def size_of(spec: Submission) -> tuple[object, ...]:
+    """What decides into which rooms a task may go, but for the other tasks of its job."""
+    types = None if spec.machine_types is None else tuple(spec.machine_types)
+    return (spec.cpus, spec.gpus, spec.memory_gb, spec.zone, spec.spot_allowed, types)
+
+
 @dataclass(slots=True, eq=False)
 class Room:
     name: str
@@ -90,11 +105,7 @@
 
 
 def type_fits(spec: Submission, kind: MachineType) -> bool:
-    return (
-        spec.gpus <= kind.gpus + EPSILON
-        and spec.cpus <= kind.cpus + EPSILON
-        and spec.memory_gb <= kind.memory_gb + EPSILON
-    )
+    return fits_into(spec, kind.cpus, kind.gpus, kind.memory_gb)
 
 
 def spread_limit(spec: Submission) -> int:
--- a/micadeal/sharing/shares.py
+++ b/micadeal/sharing/shares.py
@@ -46,3 +46,8 @@
         else:
             high = middle
     return [min(c.demand, max(high * c.weight, c.minimum)) for c in claims]
+
+
+def booked(amounts: tuple[float, float], resource: str) -> float:
+    """One resource of a team's (cores, accelerators)."""
+    return amounts[1] if resource == "gpus" else amounts[0]
