--- a/micadeal/controller/scheduler.py
+++ b/micadeal/controller/scheduler.py
@@ -40,6 +40,8 @@
 TAKEN_REPORTS = 1.5
 #: How long after taking over renting waits for machines that have not reported yet.
 COUNTING_TIME = seconds(4)
+#: Beyond the time that a task needs to save: until its end is reported, and the next pass.
+CLEARING_TIME = seconds(6)
 #: How often the log gets a line on machines and tasks.
 LINE_EVERY = seconds(15)
 #: Warm room, as a multiple of what comes in a boot time on average: some beyond it where room costs
@@ -240,6 +242,7 @@
     def run_pass(self, now: timedelta) -> None:
         self.cluster.changed = False
         self._last_pass = now
+        self._open_cleared(now)
         may_rent = self.listed and now - self.cluster.began >= COUNTING_TIME
         # What is asked for counts as booting: else it would be rented twice.
         pending = Counter({offer: request.count for offer, request in self.rentals.items()})
@@ -257,6 +260,9 @@
         for needy, victim in plan.kills:
             job = self.cluster.jobs[victim.job_id]
             log.info("%s is stopped to make room for %s", victim.job_id, needy)
+            for name in {entry[0] for entry in victim.frees}:
+                until = now + grace_to_save(job) + CLEARING_TIME
+                self.cluster.machines[name].cleared_for = (needy, until)
             if victim.index is None:
                 self.cluster.stop_job(job, now, save=True)
                 continue
@@ -274,6 +280,18 @@
                 min(count, MOST_PER_RENTAL),
             )
 
+    def _open_cleared(self, now: timedelta) -> None:
+        """Machines that were cleared for a job are open to others again once it needs them no more.
+
+        Until then they are not: what was stopped, or is handed out before, would take the place
+        again as long as another task there is still saving, and be stopped again in the next pass.
+        """
+        for machine in self.cluster.machines.values():
+            if machine.cleared_for is not None:
+                job = self.cluster.jobs.get(machine.cleared_for[0])
+                if job is None or not job.waiting_count() or now >= machine.cleared_for[1]:
+                    machine.cleared_for = None
+
     def _expected(self, now: timedelta) -> list[Expected]:
         """Classes that are to start sooner than a machine boots need warm room."""
         result: list[Expected] = []
--- a/micadeal/controller/space.py
+++ b/micadeal/controller/space.py
@@ -72,6 +72,7 @@
         shape.bound_tasks,
         0,
         order,
+        machine.cleared_for[0] if machine.cleared_for is not None else None,
     )
 
 
--- a/micadeal/fleet/model.py
+++ b/micadeal/fleet/model.py
@@ -89,6 +89,8 @@
     exited: dict[tuple[str, int], tuple[str, int, bool]] = field(default_factory=dict)
     #: Images seen on it, by last use.
     images: dict[str, timedelta] = field(default_factory=dict)
+    #: For which job tasks were stopped here, and until when others keep off.
+    cleared_for: tuple[str, timedelta] | None = None
     #: Gets no new work; returned when empty.
     leaving: str | None = None
     release_asked: timedelta | None = None
--- a/micadeal/placement/rooms.py
+++ b/micadeal/placement/rooms.py
@@ -54,10 +54,13 @@
     booked: int = 0
     #: Place in the pass: of equally good rooms the first is taken.
     order: int = 0
+    #: The job for which something is being stopped here: no other goes in.
+    cleared_for: str | None = None
 
     def fits(self, spec: Submission) -> bool:
         return (
-            spec.gpus <= self.gpus + EPSILON
+            (self.cleared_for is None or self.cleared_for == spec.job_id)
+            and spec.gpus <= self.gpus + EPSILON
             and spec.cpus <= self.cpus + EPSILON
             and spec.memory_gb <= self.memory_gb + EPSILON
         )
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -265,3 +265,46 @@
         kills += len(picture.scheduler.plan.kills)
     assert len(array.attempts) == 1 and array.waiting_count() == 1
     assert kills == 0
+
+
+def test_what_is_cleared_for_a_job_is_not_taken_by_others_meanwhile() -> None:
+    """Guards against the same while a task beside the victim is still saving: the victim, or
+    another of its like, would take the room again, and be stopped in every pass."""
+    picture = Picture(1, 0, 2)
+    for zone in ("north", "south", "west"):
+        picture.scheduler.market.refused(Offer("box", zone, False), 1, picture.now)
+        picture.scheduler.market.refused(Offer("box", zone, True), 0, picture.now)
+    picture.cluster.teams[picture.teams[0]] = Team(picture.teams[0], 0.0, 0.0, None, 6.0)
+    fields: dict[str, object] = {
+        "priority": Priority.LOW, "spot_allowed": False, "one_zone": False, "spread": False,
+        "cpus": 5.0, "gpus": 1.0, "memory_gb": 20.0, "save_s": 5.0, "team": picture.teams[0],
+    }  # fmt: skip
+    for _ in range(2):
+        picture.submit(**fields, shape=Shape.ARRAY, tasks=1)
+    picture.scheduler.run_pass(picture.now)
+    recorder, written = Recorder(picture.cluster, LIMITS), 0
+    for batch in recorder.next(picture.now):
+        recorder.committed(batch, 1, picture.now)
+        written += len(batch.placed)
+    machine = next(iter(picture.cluster.machines.values()))
+    picture.report(machine.name)
+    picture.report(machine.name)
+    assert written == 1 and len(machine.attempts) == 2
+    live = picture.submit(
+        **(fields | {"cpus": 10.0, "gpus": 2.0, "priority": Priority.PRODUCTION}),
+        shape=Shape.SERVICE, tasks=1,
+    )  # fmt: skip
+    for _ in range(6):
+        picture.submit(**fields, shape=Shape.ARRAY, tasks=1)
+    kills = 0
+    for step in range(20):
+        picture.now += seconds(0.2)
+        if step == 5:
+            # One of the two has ended, the other one still saves.
+            picture.cluster.release(next(iter(machine.attempts.values())), picture.now)
+        if step == 15:
+            picture.cluster.release(next(iter(machine.attempts.values())), picture.now)
+        picture.scheduler.run_pass(picture.now)
+        kills += len(picture.scheduler.plan.kills)
+    assert len(live.attempts) == 1
+    assert kills == 2
