Work without accelerators keeps off machines with a free one, as before

Tried instead: it may go where it leaves the cores that free accelerators need, by what the present work takes beside each. Expected: fewer machines for pipelines alone.

--- a/micadeal/controller/space.py
+++ b/micadeal/controller/space.py
@@ -18,7 +18,6 @@
 def build_rooms(cluster: Cluster, now: timedelta, pending: Counter[Offer]) -> list[Room]:
     """Rooms of machines that are up or booting, and of those asked for but not answered yet."""
     silence = cluster.workers.report * SILENT_REPORTS
-    cores = cores_per_gpu(cluster)
     rooms: list[Room] = []
     for machine in cluster.machines.values():
         kind = cluster.types.get(machine.machine_type)
@@ -27,7 +26,7 @@
         usable = machine.usable(now, silence)
         if not usable and machine.up and machine.knows_us:
             continue
-        rooms.append(_room(cluster, machine, kind, usable, len(rooms), cores))
+        rooms.append(_room(cluster, machine, kind, usable, len(rooms)))
     for offer, count in pending.items():
         kind = cluster.types.get(offer.machine_type)
         if kind is not None:
@@ -37,14 +36,6 @@
     return rooms
 
 
-def cores_per_gpu(cluster: Cluster) -> float:
-    """What the present work takes beside each of its accelerators, at most."""
-    return max(
-        (job.spec.cpus / job.spec.gpus for job in cluster.live_jobs() if job.spec.gpus),
-        default=0.0,
-    )
-
-
 def empty_room(name: str, offer: Offer, kind: MachineType, order: int, wish: bool) -> Room:
     return Room(
         name,
@@ -60,9 +51,7 @@
     )
 
 
-def _room(
-    cluster: Cluster, machine: Machine, kind: MachineType, usable: bool, order: int, cores: float
-) -> Room:
+def _room(cluster: Cluster, machine: Machine, kind: MachineType, usable: bool, order: int) -> Room:
     shape = machine.shape
     if shape is None:
         # Derived anew only when something on the machine has changed (``Cluster`` clears it).
@@ -83,7 +72,6 @@
         shape.bound_tasks,
         0,
         order,
-        cores,
         machine.cleared_for[0] if machine.cleared_for is not None else None,
     )
 
--- a/micadeal/placement/rooms.py
+++ b/micadeal/placement/rooms.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
@@ -55,8 +54,6 @@
     booked: int = 0
     #: Place in the pass: of equally good rooms the first is taken.
     order: int = 0
-    #: Cores that work beside an accelerator takes, for each that is free here.
-    cores_per_gpu: float = math.inf
     #: The job for which something is being stopped here: no other goes in.
     cleared_for: str | None = None
 
@@ -135,8 +132,8 @@
 def rank(spec: Submission, room: Room, zones: Counter[str]) -> tuple[float, ...]:
     """Smaller is better.
 
-    Up before booting before wished; what takes no accelerators where it leaves enough cores for the
-    work of those that are free; spot for what may use it, since it is cheaper
+    Up before booting before wished; what takes no accelerators where none is left, since the cores
+    beside a free accelerator are needed for its work; spot for what may use it, since it is cheaper
     and leaves the ordinary machines to what must have them; the image there already, or being
     fetched, or nothing else being fetched; zones with fewer tasks of the job; then the fullest
     machine, so that others can empty and be returned.
@@ -154,9 +151,7 @@
     # What runs until it is cancelled pays for the empty rest of its machine all the time: it
     # shares one with its like before it looks for its image.
     alone = 1 if spec.shape is Shape.SERVICE and not room.bound_tasks else 0
-    strands = 0
-    if not spec.gpus and room.gpus > EPSILON:
-        strands = room.cpus - spec.cpus + EPSILON < room.gpus * room.cores_per_gpu
+    strands = 1 if not spec.gpus and room.gpus > EPSILON else 0
     return (
         stage,
         strands,
