--- a/micadeal/controller/plan.py
+++ b/micadeal/controller/plan.py
@@ -41,6 +41,7 @@
 RESOURCES = ("gpus", "cpus")
 #: Room that is kept is not tied to other tasks of a job.
 NO_ZONES: Counter[str] = Counter()
+COMES_FREE = "room is likely to come free before a machine could be rented"
 WAITS_FOR_IMAGE = "waits a little for a machine that holds its image"
 #: New machines wished for in one pass, however much waits.
 MOST_WISHES = 200
@@ -128,6 +129,8 @@
         self._shared = 0
         self._rules: dict[str, ZoneRule] = {}
         self._delay = Delay(cluster, now)
+        #: Cores that short work without accelerators is likely to leave in a boot time.
+        self._cores_soon: float | None = None
         self.virtual: Counter[str] = Counter()
         #: Rooms looked at one by one, over the whole pass.
         self.looked_at = 0
@@ -330,6 +333,9 @@
         if room is not None and room.up and self._delay.passes(job, waiting, room):
             job.reasons[WAITS_FOR_IMAGE] += waiting
             return 0.0
+        if room is None and self._frees_soon(job, waiting):
+            job.reasons[COMES_FREE] += waiting
+            return 0.0
         if room is None:
             room = self._wish(job.spec, self._rule(job))
         if room is None:
@@ -341,6 +347,25 @@
         self._book(job, room, None)
         return job.units
 
+    def _frees_soon(self, job: Job, tasks: int) -> bool:
+        """Whether short work without accelerators will leave room for so many tasks before a
+        machine could boot: one rented for them would come too late, and with idle accelerators."""
+        spec = job.spec
+        if spec.gpus or job.is_service:
+            return False
+        if self._cores_soon is None:
+            boot = min((kind.boot_s for kind in self.market.types.values()), default=0.0)
+            self._cores_soon = sum(
+                other.running_count() * other.spec.cpus * min(boot / max(left, 1.0), 1.0)
+                for other in self.cluster.live_jobs()
+                if not other.spec.gpus and (left := other.spec.estimate_s)
+            )
+        needed = tasks * spec.cpus
+        if self._cores_soon < needed:
+            return False
+        self._cores_soon -= needed
+        return True
+
     def _fill_room(self, room: Room, spec: Submission) -> None:
         room.book(spec)
         self._filled(room, spec)
