--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -9,11 +9,14 @@
 
 from micadeal.clock import seconds, steady, wall
 from micadeal.controller.cluster import Cluster
+from micadeal.controller.plan import COMES_FREE
 from micadeal.jobs.model import Job
 from micadeal.jobs.pipeline import End
+from micadeal.operator.platform import Team
 from micadeal.operator.policy import Policy, TeamPolicy
 from micadeal.wire.state import EndRecord
 from micadeal.wire.users import Priority, Shape, Status
+from micadeal.wire.workers import TaskState
 from tests.fakes.picture import WORKERS, Picture
 from tests.fakes.world import COMING, World
 from tests.test_parts import spec
@@ -334,3 +337,22 @@
     picture.cluster.job_ended("req-999", EndRecord(Status.DONE, 1, 0.0), picture.now)
     picture.scheduler.run_pass(picture.now)
     assert len(waits.attempts) == 3
+
+
+def test_short_work_waits_for_room_that_comes_free_before_a_machine_could_boot() -> None:
+    """Guards against machines rented for tasks of some seconds, whose accelerators stay idle."""
+    picture = Picture(2, 0, 4, teams=1)
+    picture.cluster.teams["team-0"] = Team("team-0")
+    fields: dict[str, Any] = {
+        "shape": Shape.ARRAY, "team": "team-0", "gpus": 0.0, "cpus": 4.0, "spot_allowed": True, "memory_gb": 4.0,
+        "priority": Priority.LOW, "one_zone": False, "spread": False, "estimate_s": 20.0,
+    }  # fmt: skip
+    picture.scheduler.listed = True
+    running = picture.submit(**fields, tasks=4)
+    picture.scheduler.run_pass(picture.now)
+    for attempt in running.all_attempts():
+        attempt.state = TaskState.RUNNING
+    few, many = picture.submit(**fields, tasks=3), picture.submit(**fields, tasks=30)
+    picture.scheduler.run_pass(picture.now)
+    assert few.reasons == {COMES_FREE: 3}
+    assert COMES_FREE not in many.reasons and picture.scheduler.rentals
