--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -344,8 +344,9 @@
     picture = Picture(2, 0, 4, teams=1)
     picture.cluster.teams["team-0"] = Team("team-0")
     fields: dict[str, Any] = {
-        "shape": Shape.ARRAY, "team": "team-0", "gpus": 0.0, "cpus": 4.0, "spot_allowed": True, "memory_gb": 4.0,
-        "priority": Priority.LOW, "one_zone": False, "spread": False, "estimate_s": 20.0,
+        "shape": Shape.ARRAY, "team": "team-0", "gpus": 0.0, "cpus": 4.0, "spot_allowed": True,
+        "memory_gb": 4.0, "priority": Priority.LOW, "one_zone": False, "spread": False,
+        "estimate_s": 20.0,
     }  # fmt: skip
     picture.scheduler.listed = True
     running = picture.submit(**fields, tasks=4)
