Followers stand in for a leader that is gone while nobody can be elected

Need: the state service is out for longer than a worker's lease and the leader crashes in that outage; nobody can be elected, nobody answers workers, and after a lease all tasks die.

Change: a follower that was told the token keeps workers' leases alive, with the consent of so many others that they make a majority; a leader counts a lease as over only with the word of a majority that they renew none; "cancelled" is told only once a majority has the job on its list.

--- a/micadeal/cli/main.py
+++ b/micadeal/cli/main.py
@@ -33,10 +33,13 @@
 
 
 class _Start(click.Group):
-    """The platform starts a controller as ``--config FILE``, with no command: that is serve."""
+    """The platform starts a controller as ``--config FILE``, with no command: that is serve.
+
+    The same with ``--options FILE`` before it, as files under ``deploy/`` say it.
+    """
 
     def parse_args(self, ctx: click.Context, args: list[str]) -> list[str]:
-        if args and args[0].split("=")[0] == "--config":
+        if args and args[0].split("=")[0] in ("--config", "--options"):
             args = ["serve", *args]
         return super().parse_args(ctx, args)
 
@@ -60,15 +63,17 @@
 
 @main.command()
 @click.option("--config", required=True, type=click.Path(path_type=Path), help="Settings (TOML).")
-def serve(config: Path) -> None:
+@click.option("--options", type=click.Path(path_type=Path), help="What is switched on (TOML).")
+def serve(config: Path, options: Path | None) -> None:
     """Run one controller until it is killed."""
     _set_up_logging()
     platform = _platform(config)
+    switched = _options(options)
     import curio
 
     from micadeal.controller.node import Node
 
-    curio.run(Node(platform).run)
+    curio.run(Node(platform, options=switched).run)
 
 
 def _platform(path: Path) -> Any:
@@ -80,6 +85,16 @@
         _fail(f"bad settings: {problem}", MISUSED)
 
 
+def _options(path: Path | None) -> Any:
+    from micadeal.operator.options import Options, load
+    from micadeal.operator.platform import BadSettings
+
+    try:
+        return Options() if path is None else load(path)
+    except BadSettings as problem:
+        _fail(f"bad options: {problem}", MISUSED)
+
+
 @main.command()
 @click.argument("file", type=click.Path(path_type=Path))
 def check(file: Path) -> None:
--- a/micadeal/controller/cluster.py
+++ b/micadeal/controller/cluster.py
@@ -52,6 +52,11 @@
     return job.save_time + GRACE_MARGIN if job.can_save else ZERO
 
 
+def lease_over(workers: Workers) -> timedelta:
+    """After a silence of this length a worker's lease has certainly run out."""
+    return workers.lease * (1 + 2 * DRIFT) + LEASE_MARGIN
+
+
 class HigherToken(Exception):
     """A worker has seen the token of a later leader."""
 
@@ -471,8 +476,7 @@
 
     @property
     def lease_over(self) -> timedelta:
-        """After a silence of this length a worker's lease has certainly run out."""
-        return self.workers.lease * (1 + 2 * DRIFT) + LEASE_MARGIN
+        return lease_over(self.workers)
 
     def expire(self, now: timedelta) -> None:
         """Machines silent for longer than their lease: nothing is on them any more."""
@@ -535,6 +539,11 @@
 
     # -- sums ------------------------------------------------------------------------------
 
+    def left_of(self, job_id: str) -> bool:
+        """Whether anything of a job may still be, or come to be, on a machine."""
+        job = self.jobs.get(job_id)
+        return job is not None and (not job.over or bool(job.attempts))
+
     def usage(self) -> dict[str, tuple[float, float]]:
         """(cpus, gpus) per team of everything that may be on a machine."""
         used: dict[str, list[float]] = {name: [0.0, 0.0] for name in self.teams}
--- a/micadeal/controller/dispatcher.py
+++ b/micadeal/controller/dispatcher.py
@@ -22,6 +22,7 @@
     Extended,
     JobEvents,
     JobsRead,
+    LeftWanted,
     ListRead,
     Loaded,
     NewSettings,
@@ -45,6 +46,7 @@
 from micadeal.http.network import Network
 from micadeal.jobs.model import CHUNK, SMALL_CHUNK, Job
 from micadeal.jobs.stored import JOBS, PARTS, part_keys, whole
+from micadeal.leadership.standin import Timing, View, may_count_lease_over
 from micadeal.leadership.term import PeerContact, Power, Term
 from micadeal.operator import answers
 from micadeal.operator.platform import Platform
@@ -97,7 +99,9 @@
         types: list[MachineType],
         resign: Callable[[], None],
         network: Network,
+        timing: Timing | None = None,
     ) -> None:
+        """``timing``: of standing in for a leader; None: nobody ever does."""
         super().__init__(bound=2000)
         now = steady()
         self._platform = platform
@@ -107,6 +111,10 @@
         self._resign = resign
         self._network = network
         self._peers: list[PeerContact | None] = [None for _ in platform.peers]
+        self._timing = timing
+        self._began = now
+        self._views: tuple[View, ...] = ()
+        self._told_by: timedelta | None = None
         self._cluster = Cluster(term.token, platform.workers, platform.teams, now)
         self._scheduler = Scheduler(self._cluster, Market(), Policy(), platform.objectives, now)
         if types:
@@ -155,7 +163,16 @@
 
     def _power(self) -> Power:
         workers = self._platform.workers
-        return self._term.power(steady(), self._peers, workers.lease, workers.cancel)
+        return self._term.power(steady(), self._peers, workers.lease, workers.cancel, self._told_by)
+
+    def _leases_count(self, now: timedelta) -> bool:
+        """Whether a silent worker's lease may be counted as over: nobody else can have renewed it.
+
+        Guards ``ran_twice``: a follower may stand in for us where it can't see us (docs/safety.md).
+        """
+        if self._timing is None:
+            return True
+        return may_count_lease_over(self.token, self._began, self._views, now, self._timing)
 
     # -- messages --------------------------------------------------------------------------
 
@@ -166,7 +183,7 @@
         self._effort.add("reports" if isinstance(message, ReportIn) else "messages", now - began)
         if self._loaded and self._power() is Power.FULL:
             if isinstance(message, Tick):
-                self._scheduler.tick(now)
+                self._scheduler.tick(now, leases_count=self._leases_count(now))
                 self._log_effort(now)
                 now = self._spent("clock", now)
             if self._pass_is_due(now):
@@ -216,8 +233,10 @@
                 self._direct_answer(report, now)
             case Extended(valid_until):
                 self._term = replace(self._term, valid_until=valid_until)
-            case PeerNews(peers):
+            case PeerNews(peers, views, told_by):
                 self._peers = list(peers)
+                self._views = views or ()
+                self._told_by = told_by
             case JobEvents(events, asked, parts):
                 for event in events:
                     self._job_event(event, now, parts)
@@ -255,6 +274,8 @@
                 self._written(message)
             case ProgressWanted():
                 return Progress(scheduler.counts(), self._cascaded)
+            case LeftWanted(job_id):
+                return not self._loaded or self._cluster.left_of(job_id)
             case WhyWanted(job_id):
                 return answers.why(scheduler, job_id, now)
             case OverviewWanted():
--- a/micadeal/controller/mesh.py
+++ b/micadeal/controller/mesh.py
@@ -11,6 +11,7 @@
 import curio
 
 from micadeal.clock import seconds, sleep, steady
+from micadeal.controller.standing import Standing
 from micadeal.http.message import HttpError
 from micadeal.http.network import AnyClient, Network
 from micadeal.leadership.term import PeerContact
@@ -29,6 +30,11 @@
 FRESH = timedelta(seconds=2.5)
 #: Direct, and over a third controller: together well within a worker's 4 s.
 RELAY_TIME = timedelta(seconds=1.4)
+NOTICE_TIME = timedelta(seconds=1)
+
+
+#: A peer's name, its answer, and jobs that it says are cancelled and of which we did not know.
+News = Callable[[str, Pong, list[str]], Awaitable[None]]
 
 
 @dataclass(slots=True)
@@ -47,29 +53,45 @@
 class Mesh:
     """Owns the links to the peers; ``news`` is told after every answer to a ping."""
 
-    def __init__(self, name: str, peers: tuple[Peer, ...], network: Network) -> None:
+    def __init__(
+        self,
+        name: str,
+        peers: tuple[Peer, ...],
+        network: Network,
+        standing: Standing | None,
+        in_touch: Callable[[], bool],
+    ) -> None:
+        """``standing``: None where standing in is switched off; ``in_touch``: with the state
+        service."""
         self._name = name
+        self._standing = standing
+        self._in_touch = in_touch
         self._links = {
             peer.name: _Link(peer, network.client(peer.address, 4), network.client(peer.address, 1))
             for peer in peers
         }
         self.leader: str | None = None
+        #: The token of the term that we lead; 0: we don't.
+        self.leading_token = 0
 
-    async def run(self, news: Callable[[str, Pong], Awaitable[None]]) -> None:
+    async def run(self, news: News) -> None:
         async with curio.TaskGroup() as group:
             for link in self._links.values():
                 await group.spawn(self._ping, link, news)
 
-    async def _ping(self, link: _Link, news: Callable[[str, Pong], Awaitable[None]]) -> None:
+    async def _ping(self, link: _Link, news: News) -> None:
         while True:
             asked = steady()
             try:
+                leading = self.leading_token
                 message = Ping(self._name, wants_counts=self.leader == link.peer.name)
+                if self._standing is not None:
+                    self._standing.ping(message, leading, self._in_touch(), asked)
                 status, body = await link.pings.request(
                     "POST", "/ping", encode(message), timeout=PING_TIME
                 )
                 if status == 200:
-                    await self._heard(link, decode(Pong, body), asked, news)
+                    await self._heard(link, decode(Pong, body), asked, leading, news)
             except (HttpError, BadMessage) as problem:
                 log.debug("ping of %s: %s", link.peer.name, problem)
             except Exception:
@@ -81,9 +103,13 @@
         link: _Link,
         pong: Pong,
         asked: timedelta,
-        news: Callable[[str, Pong], Awaitable[None]],
+        leading: int,
+        news: News,
     ) -> None:
         now = steady()
+        cancelled: list[str] = []
+        if self._standing is not None:
+            cancelled = self._standing.hear(link.peer.name, pong.word, asked, now, leading)
         link.heard, link.pong = now, pong
         if pong.state_age_ms is not None:
             link.state_contact = now - seconds(pong.state_age_ms / 1000)
@@ -91,7 +117,7 @@
         if pong.cascade_age_ms is not None:
             # Counted from when it was asked: an answer that was under way for long says less.
             link.cascaded = asked - seconds(pong.cascade_age_ms / 1000)
-        await news(link.peer.name, pong)
+        await news(link.peer.name, pong, cancelled)
 
     def cascaded(self, leader: str) -> timedelta | None:
         link = self._links.get(leader)
@@ -147,8 +173,25 @@
                 return await self.send(name, "/relay", Relay(report, 0), Relayed, RELAY_TIME * 1.5)
         raise HttpError(f"no way to {leader}")
 
-    async def notify_cancel(self, job_id: str, leader: str) -> None:
-        try:
-            await self.send(leader, "/notice", Notice(job_id), bool, seconds(1))
-        except HttpError as problem:
-            log.debug("notice to %s: %s", leader, problem)
+    async def notify_cancel(self, job_id: str, needed: int) -> bool:
+        """Tell all peers of a cancellation; whether ``needed`` of them have put it on their list.
+
+        Returns as soon as that is so; the rest are told all the same.
+        """
+        answers: curio.Queue = curio.Queue()
+
+        async def tell(name: str) -> None:
+            told = False
+            try:
+                told = await self.send(name, "/notice", Notice(job_id), bool, NOTICE_TIME)
+            except HttpError as problem:
+                log.debug("notice to %s: %s", name, problem)
+            await answers.put(told)
+
+        for name in self._links:
+            await curio.spawn(tell, name, daemon=True)
+        for _ in self._links:
+            if needed <= 0:
+                break
+            needed -= await answers.get()
+        return needed <= 0
--- a/micadeal/controller/messages.py
+++ b/micadeal/controller/messages.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from micadeal.controller.records import Changes
+from micadeal.leadership.standin import View
 from micadeal.leadership.term import PeerContact
 from micadeal.wire.cloud import ListedMachine, MachineType, RentalRequest
 from micadeal.wire.mesh import Counts
@@ -34,6 +35,10 @@
 @dataclass(frozen=True, slots=True)
 class PeerNews:
     peers: tuple[PeerContact | None, ...]
+    #: What is known of each of them for standing in; None: that is switched off.
+    views: tuple[View, ...] | None = None
+    #: Up to then every cancellation is known by a majority's lists.
+    told_by: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +81,13 @@
     job_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class LeftWanted:
+    """Whether anything of a job may still be on a machine; answered with a bool."""
+
+    job_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class EndRead:
     """The end of a job that others wait for; None: there is none, or it can't be read."""
--- a/micadeal/controller/node.py
+++ b/micadeal/controller/node.py
@@ -11,11 +11,13 @@
 
 from micadeal.actor import Overloaded, keep_running
 from micadeal.clock import seconds, sleep, steady, wall
+from micadeal.controller.cluster import lease_over
 from micadeal.controller.dispatcher import SETTINGS, Dispatcher
 from micadeal.controller.mesh import Mesh
 from micadeal.controller.messages import (
     CancelNotice,
     Extended,
+    LeftWanted,
     OverviewWanted,
     PeerNews,
     ProgressWanted,
@@ -23,12 +25,15 @@
     ReportIn,
     WhyWanted,
 )
+from micadeal.controller.standing import TOUCH, Standing
 from micadeal.fleet.cloud import Cloud, CloudError
 from micadeal.fleet.gate import Gate, Way
 from micadeal.http.message import Answer, HttpError, Request, answer, error
 from micadeal.http.network import Network, TcpNetwork
 from micadeal.jobs.desk import Desk
 from micadeal.leadership.election import Deposed, Elected, Election, LeaderSeen, Renewed
+from micadeal.leadership.standin import Timing
+from micadeal.operator.options import Options
 from micadeal.operator.platform import Platform
 from micadeal.operator.script import policy_from_values
 from micadeal.state.service import Refused, StateError, StateService, Urgency
@@ -52,15 +57,27 @@
 
 
 class Node:
-    def __init__(self, platform: Platform, network: Network | None = None) -> None:
+    def __init__(
+        self,
+        platform: Platform,
+        network: Network | None = None,
+        options: Options | None = None,
+    ) -> None:
         self._network = network or TcpNetwork()
         self._platform = platform
         self._state = StateService(
             platform.state_address, platform.state_limits, platform.sure_limits, self._network
         )
         self._cloud = Cloud(platform.cloud_address, platform.cloud_rps, self._network)
-        self._mesh = Mesh(platform.name, platform.peers, self._network)
-        self._desk = Desk(self._state, platform.teams, self._cancelled, platform.workers.cancel)
+        self._timing = _timing(platform, options or Options())
+        self._standing: Standing | None = None
+        if self._timing is not None:
+            peers = [peer.name for peer in platform.peers]
+            self._standing = Standing(peers, self._timing, steady())
+        self._mesh = Mesh(
+            platform.name, platform.peers, self._network, self._standing, self._in_touch
+        )
+        self._desk = Desk(self._state, platform.teams, self._spread, platform.workers.cancel)
         self._gate = Gate()
         self._election = Election(platform.name, self._state, self._on_election)
         self._dispatcher: Dispatcher | None = None
@@ -108,12 +125,15 @@
                     self._desk.types,
                     self._election.resign,
                     self._network,
+                    self._timing,
                 )
+                self._mesh.leading_token = term.token
                 self._term_task = await curio.spawn(self._dispatcher.run, daemon=True)
             case Renewed(_, valid_until):
                 await self._tell(Extended(valid_until))
             case Deposed():
                 self._dispatcher = None
+                self._mesh.leading_token = 0
                 self._set_leader(None)
                 if self._term_task is not None:
                     await self._term_task.cancel(blocking=False)
@@ -133,11 +153,14 @@
             except Overloaded:
                 log.warning("the leader's mailbox is full")
 
-    async def _on_pong(self, name: str, pong: Pong) -> None:
+    async def _on_pong(self, name: str, pong: Pong, cancelled: list[str]) -> None:
         # The term may end while an answer is waited for.
         dispatcher = self._dispatcher
         if dispatcher is not None:
-            await self._tell(PeerNews(self._mesh.contacts()))
+            for job_id in cancelled:
+                # Before the news that every cancellation is known.
+                await self._tell(CancelNotice(job_id))
+            await self._tell(self._peer_news())
             progress = await dispatcher.ask(ProgressWanted(), ASK_TIME)
             self._desk.set_counts(progress.counts)
             self._desk.set_cascaded(progress.cascaded)
@@ -145,11 +168,35 @@
             self._desk.set_counts(pong.counts)
             self._desk.set_cascaded(self._mesh.cascaded(name))
 
-    async def _cancelled(self, job_id: str) -> None:
-        if self._dispatcher is not None:
+    def _peer_news(self) -> PeerNews:
+        if self._standing is None:
+            return PeerNews(self._mesh.contacts())
+        return PeerNews(
+            self._mesh.contacts(),
+            self._standing.views(),
+            self._standing.all_cancellations_by(steady()),
+        )
+
+    def _in_touch(self) -> bool:
+        contact = self._state.answered
+        return contact is not None and steady() - contact < TOUCH
+
+    async def _spread(self, job_id: str) -> bool:
+        """Make a cancellation known to the leader and to the others; whether a user may be told."""
+        needed = 0
+        if self._standing is not None and self._timing is not None:
+            self._standing.note(job_id, steady())
+            needed = self._timing.majority - 1
+        dispatcher = self._dispatcher
+        if dispatcher is not None:
             await self._tell(CancelNotice(job_id))
-        elif self._leader is not None:
-            await curio.spawn(self._mesh.notify_cancel, job_id, self._leader, daemon=True)
+        if await self._mesh.notify_cancel(job_id, needed):
+            return True
+        # Alone, a leader may say so once nothing of the job is left that anybody could keep alive.
+        try:
+            return dispatcher is not None and not await dispatcher.ask(LeftWanted(job_id), ASK_TIME)
+        except (Overloaded, TimeoutError):
+            return False
 
     # -- users and workers -----------------------------------------------------------------
 
@@ -207,6 +254,10 @@
         except BadMessage as problem:
             return error(400, str(problem))
         now = steady()
+        if self._standing is not None and self._dispatcher is None:
+            orders = self._standing.answer(report, self._in_touch(), now)
+            if orders is not None:
+                return answer(200, orders)
         way = self._gate.way(report.machine, self._dispatcher is not None, self._leader, now)
         if way is Way.HERE:
             reply = await self._take_report(report)
@@ -309,7 +360,10 @@
             return error(404, "no such path")
         try:
             return await _only("POST", request, handler)
-        except (BadMessage, Overloaded, TimeoutError) as problem:
+        except BadMessage as problem:
+            log.warning("a message of a controller to %s is refused: %s", request.path, problem)
+            return error(400, str(problem))
+        except (Overloaded, TimeoutError) as problem:
             return error(503, str(problem) or type(problem).__name__)
 
     async def _on_ping(self, request: Request) -> Answer:
@@ -321,6 +375,10 @@
             counts = progress.counts
             if progress.cascaded is not None:
                 cascade_age = (steady() - progress.cascaded).total_seconds() * 1000
+        word = None
+        if self._standing is not None:
+            leading = self._dispatcher is not None
+            word = self._standing.word(ping, leading, self._in_touch(), steady())
         contact = self._state.answered
         age = None if contact is None else (steady() - contact).total_seconds() * 1000
         return answer(
@@ -334,6 +392,7 @@
                 counts,
                 self._mesh.reaches(),
                 cascade_age,
+                word,
             ),
         )
 
@@ -348,7 +407,10 @@
         return answer(200, Relayed(reply.status, reply.body))
 
     async def _on_notice(self, request: Request) -> Answer:
-        await self._tell(CancelNotice(decode(Notice, request.body).job_id))
+        job_id = decode(Notice, request.body).job_id
+        if self._standing is not None:
+            self._standing.note(job_id, steady())
+        await self._tell(CancelNotice(job_id))
         return answer(200, True)
 
     async def _on_why(self, request: Request) -> Answer:
@@ -363,6 +425,13 @@
         return answer(200, await self._dispatcher.ask(OverviewWanted(), ASK_TIME))
 
 
+def _timing(platform: Platform, options: Options) -> Timing | None:
+    """Of standing in for a leader; None if that is switched off, or could not be safe here."""
+    workers = platform.workers
+    timing = Timing(lease_over(workers), workers.cancel, 1 + len(platform.peers))
+    return timing if options.stand_in and timing.possible else None
+
+
 async def _only(
     method: str, request: Request, handler: Callable[[Request], Awaitable[Answer]]
 ) -> Answer:
--- a/micadeal/controller/scheduler.py
+++ b/micadeal/controller/scheduler.py
@@ -202,9 +202,14 @@
 
     # -- time ------------------------------------------------------------------------------
 
-    def tick(self, now: timedelta) -> None:
-        """What is due by the clock alone."""
-        self.cluster.expire(now)
+    def tick(self, now: timedelta, *, leases_count: bool = True) -> None:
+        """What is due by the clock alone.
+
+        ``leases_count``: nobody else can have renewed the lease of a worker that is silent to us.
+        Where that is not sure, silent machines are returned, and the cloud's answer waited for.
+        """
+        if leases_count:
+            self.cluster.expire(now)
         self._drain(now)
         self._look_after_machines(now)
         if self._last_line is None or now - self._last_line >= LINE_EVERY:
--- /dev/null
+++ b/micadeal/controller/standing.py
@@ -0,0 +1,185 @@
+"""One controller's part in standing in for a leader: what it promises, remembers and answers.
+
+Owns the node's memory, its views of the others and the list of cancellations.  No I/O; the
+decisions are those of ``leadership/standin.py``.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Iterable
+from datetime import timedelta
+
+from micadeal.clock import ZERO, seconds
+from micadeal.jobs.validate import JOB_ID
+from micadeal.leadership.standin import (
+    Memory,
+    Timing,
+    View,
+    Word,
+    all_cancellations_by,
+    may_consent,
+    may_stand_in,
+    synced,
+)
+from micadeal.wire import mesh
+from micadeal.wire.codec import BadMessage
+from micadeal.wire.workers import Order, Orders, Report, TaskState, Verb
+
+log = logging.getLogger(__name__)
+
+#: Without an answer of the state service for this long a controller takes it for out of reach.
+#: Idle ones hear from it every two seconds, when a watch comes back.
+TOUCH = seconds(3)
+#: Cancellations on the list at most: of more than a day could bring within ``settled``.
+MOST_TOLD = 1500
+
+
+class Standing:
+    def __init__(self, peers: Iterable[str], timing: Timing, now: timedelta) -> None:
+        self.timing = timing
+        self._memory = Memory(now)
+        self._views = {name: View() for name in peers}
+        #: Jobs that a user was, or may be, told to be cancelled: when we learned of it.
+        self._told: dict[str, timedelta] = {}
+        #: When the list last lost an entry too early.
+        self._overflow: timedelta | None = None
+        self._standing_in = False
+        self._backwards: set[str] = set()
+
+    # -- cancellations ---------------------------------------------------------------------
+
+    def note(self, job_id: str, now: timedelta, age: timedelta = ZERO) -> bool:
+        """Put a cancellation on the list; whether it is news."""
+        if job_id in self._told or not JOB_ID.match(job_id):
+            return False
+        for name in [n for n, at in self._told.items() if now - at > self.timing.settled * 2]:
+            del self._told[name]
+        if len(self._told) >= MOST_TOLD:
+            del self._told[min(self._told, key=self._told.__getitem__)]
+            self._overflow = now
+        self._told[job_id] = now - max(age, ZERO)
+        return True
+
+    def _synced(self, now: timedelta) -> bool:
+        if self._overflow is not None and now - self._overflow < self.timing.settled:
+            return False
+        return synced(self._memory, self._views.values(), now, self.timing)
+
+    # -- between controllers ---------------------------------------------------------------
+
+    def ping(self, message: mesh.Ping, leading: int, in_touch: bool, now: timedelta) -> mesh.Ping:
+        """Add what we ask of a peer."""
+        message.leading_token = leading
+        message.wants_told = not in_touch or not self._synced(now)
+        if not leading and not in_touch:
+            message.wants_consent = self._memory.token
+        return message
+
+    def word(self, ping: mesh.Ping, leading: bool, in_touch: bool, now: timedelta) -> mesh.Word:
+        """Our word in answer to a ping: a leader is promised that we keep quiet for a while, others
+        may get our consent."""
+        if ping.leading_token > 0:
+            self._hear_leader(ping.controller, ping.leading_token, now)
+        whole = self._synced(now)
+        consent = 0
+        if (
+            ping.wants_consent
+            and ping.wants_told
+            and not leading
+            # Else one of us can be elected, which serves workers better.
+            and not in_touch
+            and may_consent(self._memory, ping.wants_consent, whole, now, self.timing)
+        ):
+            consent = ping.wants_consent
+            self._memory = self._memory.bind(consent, now + self.timing.consent)
+        memory = self._memory
+        bound = ZERO if memory.bound_until is None else memory.bound_until - now
+        told = {n: (now - at).total_seconds() * 1000 for n, at in self._told.items()}
+        return mesh.Word(
+            (now - memory.born).total_seconds() * 1000,
+            whole,
+            consent,
+            memory.bound_token,
+            bound.total_seconds() * 1000,
+            told if ping.wants_told else None,
+        )
+
+    def _hear_leader(self, name: str, token: int, now: timedelta) -> None:
+        if token < self._memory.token:
+            # Held by the network, or of a leader that does not know that it is none any more.
+            if name not in self._backwards:
+                self._backwards.add(name)
+                log.warning("%s speaks of the past term %d; refused", name, token)
+            return
+        self._backwards.discard(name)
+        self._memory = self._memory.hear_leader(token, now)
+
+    def hear(
+        self, name: str, found: mesh.Word | None, asked: timedelta, now: timedelta, leading: int
+    ) -> list[str]:
+        """Take in a peer's answer to a ping; the cancellations that are news.
+
+        Raises ``BadMessage`` for numbers that make no sense: such an answer counts for nothing.
+        """
+        word = None
+        if found is not None:
+            word = Word(
+                _span(found.age_ms),
+                found.synced,
+                found.consent,
+                found.bound_token,
+                _span(found.bound_ms),
+                found.told is not None,
+            )
+        view = self._views[name]
+        self._views[name] = view.hear(word, asked, now, leading, self.timing)
+        told = found.told if found is not None else None
+        return [job for job, age in (told or {}).items() if self.note(job, now, _span(age))]
+
+    def views(self) -> tuple[View, ...]:
+        return tuple(self._views.values())
+
+    def all_cancellations_by(self, now: timedelta) -> timedelta | None:
+        if not self._synced(now):
+            return None
+        return all_cancellations_by(self._views.values(), now, self.timing)
+
+    # -- workers ---------------------------------------------------------------------------
+
+    def answer(self, report: Report, in_touch: bool, now: timedelta) -> Orders | None:
+        """What a worker is answered in the leader's place; None: that is not for us to do."""
+        memory = self._memory
+        if not memory.token:
+            return None
+        stands = not in_touch and may_stand_in(
+            memory, self._views.values(), self._synced(now), now, self.timing
+        )
+        if stands is not self._standing_in:
+            self._standing_in = stands
+            log.info(
+                "%s in for the leader of term %d", "stands" if stands else "no longer stands",
+                memory.token,
+            )  # fmt: skip
+        if not stands or report.token > memory.token:
+            # A higher token is that of a leader that we have not heard of: its word counts.
+            return None
+        self._memory = memory.bind(memory.token, now)
+        return Orders(memory.token, self._stops(report))
+
+    def _stops(self, report: Report) -> list[Order]:
+        """Guards ``ran_cancelled``: what was cancelled is stopped whoever answers."""
+        orders: list[Order] = []
+        for task in report.tasks:
+            job_id, _, _ = task.task.rpartition("/")
+            if job_id in self._told and task.state != TaskState.EXITED.value:
+                orders.append(Order(Verb.STOP, task.task, task.attempt, 0.0))
+        return orders
+
+
+def _span(milliseconds: float) -> timedelta:
+    """A span of a peer's message."""
+    if not math.isfinite(milliseconds) or abs(milliseconds) > 1e12:
+        raise BadMessage(f"not a span of time: {milliseconds}")
+    return seconds(milliseconds / 1000)
--- a/micadeal/jobs/desk.py
+++ b/micadeal/jobs/desk.py
@@ -75,13 +75,15 @@
         self,
         state: StateService,
         teams: dict[str, Team],
-        cancelled: Callable[[str], Awaitable[None]],
+        spread: Callable[[str], Awaitable[bool]],
         cancel_time: timedelta,
     ) -> None:
+        """``spread`` makes a cancellation known to the other controllers; False: not to enough of
+        them that a user may be told."""
         self._state = state
         self._teams = teams
         self._market = Market()
-        self._cancelled = cancelled
+        self._spread = spread
         self._cancel_time = cancel_time
         self._final: OrderedDict[str, JobAnswer] = OrderedDict()
         #: Jobs that were found accepted when a long list named them.
@@ -158,9 +160,7 @@
                     await self._write_cancel(job_id, item)
                 except Conflict:
                     continue
-                result = self._remember(JobAnswer(job_id, Status.CANCELLED))
-                await self._cancelled(job_id)
-                return answer(200, result)
+                return answer(200, await self._tell_cancelled(JobAnswer(job_id, Status.CANCELLED)))
         except StateError as problem:
             log.debug("cancelling %s: %s", job_id, problem)
         return error(503, "not recorded yet, ask again", RETRY)
@@ -359,7 +359,17 @@
         except BadMessage as problem:
             raise StateError(str(problem)) from None
         done = end.tasks if end.status is Status.DONE else None
-        return self._remember(JobAnswer(job_id, end.status, done, 0 if done else None))
+        found = JobAnswer(job_id, end.status, done, 0 if done else None)
+        if end.status is Status.CANCELLED:
+            return await self._tell_cancelled(found)
+        return self._remember(found)
+
+    async def _tell_cancelled(self, found: JobAnswer) -> JobAnswer:
+        """Guards ``ran_cancelled``: before a user is told, so many controllers know of it that any
+        which stands in for the leader will hear of it, whoever crashes meanwhile."""
+        if not await self._spread(found.job_id):
+            raise StateError("recorded, but too few controllers know of it")
+        return self._remember(found)
 
     def _remember(self, final: JobAnswer) -> JobAnswer:
         if final.status is Status.CANCELLED:
--- a/micadeal/leadership/term.py
+++ b/micadeal/leadership/term.py
@@ -50,14 +50,16 @@
         peers: list[PeerContact | None],
         lease_time: timedelta,
         cancel_time: timedelta,
+        told_by: timedelta | None = None,
     ) -> Power:
+        """``told_by``: up to then every cancellation is known by a majority's lists."""
         if now < self.valid_until:
             return Power.FULL
         # A task whose worker we answer lives for a worker's lease after the report.  So answers
         # must end early enough that it is gone ``cancel_time`` after any cancellation that
         # another controller could have accepted unknown to us.
         grace = (cancel_time - lease_time) * (1 - DRIFT) - MARGIN
-        known = self.informed
+        known = self.informed if told_by is None else max(self.informed, told_by)
         if peers and all(peer is not None for peer in peers):
             # Every peer's word that it has told no user "cancelled" since ``informed`` moves the
             # bound on: so an outage that all share may last for as long as it likes.
--- a/micadeal/wire/mesh.py
+++ b/micadeal/wire/mesh.py
@@ -12,6 +12,29 @@
 class Ping(msgspec.Struct):
     controller: str
     wants_counts: bool = False
+    # The token of the term that the asking node leads; 0: it does not lead, or is of a version in
+    # which nobody stands in for a leader.
+    leading_token: int = 0
+    # Asks for consent to stand in for the leader of this term; 0: no.
+    wants_consent: int = 0
+    # Asks for the list of cancellations.
+    wants_told: bool = False
+
+
+class Word(msgspec.Struct):
+    """What a node says of standing in for a leader (leadership/standin.py)."""
+
+    # The age of its process, and whether its list of cancellations is known to be whole.
+    age_ms: float
+    synced: bool
+    # The token that it consents to with this answer; 0: none.
+    consent: int = 0
+    # The last token that it stood in under or consented to, and how long that holds still;
+    # negative: how long ago it was over.
+    bound_token: int = 0
+    bound_ms: float = 0.0
+    # Cancellations told, or about to be told, and how long ago it learned of them; None: not asked.
+    told: dict[str, float] | None = None
 
 
 class Counts(msgspec.Struct, array_like=True):
@@ -37,10 +60,15 @@
     # A leader's word: all jobs that need one that was cancelled longer ago than this are recorded
     # cancelled.  None: it can't tell, or is of a version in which no job waits for others.
     cascade_age_ms: float | None = None
+    # None: it is of a version in which nobody stands in for a leader, or that is switched off.
+    word: Word | None = None
 
 
 class Notice(msgspec.Struct):
-    """A hint that a job's record changed; the receiver reads the truth from the state service."""
+    """A job is cancelled (``/notice``), or is asked about (``/why``).
+
+    The answer to a notice is also the receiver's word that it has put the job on its list.
+    """
 
     job_id: str
 
--- a/tests/fakes/earlier.py
+++ b/tests/fakes/earlier.py
@@ -13,8 +13,9 @@
 from micadeal.wire.codec import decode, encode
 from tests.fakes.network import FakeClient, FakeServer, Handler, HostNetwork
 
-#: Fields that came with pipelines.
-UNKNOWN_FIELDS = {"waits_on", "cascade_age_ms"}
+#: Fields that came with pipelines, and with controllers that stand in for a leader.
+UNKNOWN_FIELDS = {"waits_on", "cascade_age_ms", "leading_token", "wants_consent", "wants_told"}
+UNKNOWN_FIELDS |= {"word"}
 #: Where the earlier version neither reads nor writes.
 UNKNOWN_KEYS = ("finished/", "part/")
 
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -12,6 +12,7 @@
 from micadeal.clock import seconds, steady
 from micadeal.controller.node import Node
 from micadeal.http.message import HttpError, Request
+from micadeal.operator.options import Options
 from micadeal.operator.platform import parse
 from micadeal.wire.codec import decode, encode
 from tests.fakes import cloud as cloud_fake
@@ -152,7 +153,8 @@
         power = self._powers[name] = HostPower()
         platform = parse(settings(number, self.teams, self.coming))
         network = EarlierNetwork if earlier else HostNetwork
-        node = Node(platform, network(self.network, name, power))
+        options = Options(stand_in=not earlier)
+        node = Node(platform, network(self.network, name, power), options)
         await curio.spawn(node.run, daemon=True)
 
     def crash(self, number: int) -> None:
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -164,9 +164,7 @@
         leader = world.leader()
         assert leader is not None
         other = (leader + 1) % 3
-        for number in range(3):
-            if number != other:
-                world.crash(number)
+        world.crash(leader)
         # Nobody can be elected any more.
         world.state.keys["leader"] = ({"controller": "c9", "lease": 1}, 10**6, None)
         assert await world.cancel(first, other) == "cancelled"
