A worker that comes from a leader which does not answer it is relayed at once

Cause: a worker whose leader is silent to it waits 4 s, comes to a follower, is sent back, waits 4 s more and returns: with up to 3.75 s between two reports that is longer than a lease of 14 s, so a leader that loses only its workers lost all tasks, though every follower could reach it.

Change: one that shows the present leader's token is relayed on arrival, sent back with its next report, and relayed for good if it returns.

--- a/micadeal/controller/node.py
+++ b/micadeal/controller/node.py
@@ -83,6 +83,8 @@
         self._dispatcher: Dispatcher | None = None
         self._term_task: Any = None
         self._leader: str | None = None
+        #: The token of the leader last seen; 0: none was.
+        self._leader_token = 0
 
     async def run(self) -> None:
         most = self._platform.max_connections
@@ -137,8 +139,9 @@
                 self._set_leader(None)
                 if self._term_task is not None:
                     await self._term_task.cancel(blocking=False)
-            case LeaderSeen(controller):
+            case LeaderSeen(controller, token):
                 self._set_leader(controller)
+                self._leader_token = token
 
     def _set_leader(self, name: str | None) -> None:
         if name != self._leader:
@@ -258,7 +261,9 @@
             orders = self._standing.answer(report, self._in_touch(), now)
             if orders is not None:
                 return answer(200, orders)
-        way = self._gate.way(report.machine, self._dispatcher is not None, self._leader, now)
+        knows = 0 < report.token == self._leader_token
+        leading = self._dispatcher is not None
+        way = self._gate.way(report.machine, leading, self._leader, now, knows)
         if way is Way.HERE:
             reply = await self._take_report(report)
             if reply.status == 503 and self._leader not in (None, self._platform.name):
--- a/micadeal/fleet/gate.py
+++ b/micadeal/fleet/gate.py
@@ -13,6 +13,8 @@
 RETURN_TIME = seconds(12)
 #: A relayed worker stays relayed if it reports at least this often.
 RELAY_TIME = seconds(15)
+#: One that came from the leader, and was relayed for that, is not again within this time.
+RESCUE_TIME = seconds(20)
 REMEMBERED = 2000
 
 
@@ -28,6 +30,7 @@
     redirected: timedelta | None = None
     leader: str | None = None
     relayed: timedelta | None = None
+    rescued: timedelta | None = None
 
 
 class Gate:
@@ -36,7 +39,10 @@
     def __init__(self) -> None:
         self._seen: OrderedDict[str, _Seen] = OrderedDict()
 
-    def way(self, machine: str, leading: bool, leader: str | None, now: timedelta) -> Way:
+    def way(
+        self, machine: str, leading: bool, leader: str | None, now: timedelta, knows: bool = False
+    ) -> Way:
+        """``knows``: the worker has shown the present leader's token."""
         if leading:
             return Way.HERE
         if leader is None:
@@ -46,17 +52,23 @@
         while len(self._seen) > REMEMBERED:
             self._seen.popitem(last=False)
         if seen.leader != leader:
-            seen.leader, seen.redirected, seen.relayed = leader, None, None
+            seen.leader, seen.redirected, seen.relayed, seen.rescued = leader, None, None, None
         if seen.relayed is not None and now - seen.relayed < RELAY_TIME:
             return Way.RELAY
         if seen.redirected is not None and now - seen.redirected < RETURN_TIME:
             return Way.RELAY
+        if knows and (seen.rescued is None or now - seen.rescued > RESCUE_TIME):
+            # It most likely came here since the leader did not answer it for 4 s.  To be sent back
+            # at once could cost it as long again, which with the time between two reports is
+            # more than a lease.
+            seen.rescued, seen.redirected = now, None
+            return Way.RELAY
         seen.redirected = now
         return Way.REDIRECT
 
     def relayed(self, machine: str, now: timedelta) -> None:
         seen = self._seen.get(machine)
-        if seen is not None:
+        if seen is not None and seen.redirected is not None:
             seen.relayed = now
 
     def relay_failed(self, machine: str) -> None:
--- a/micadeal/leadership/election.py
+++ b/micadeal/leadership/election.py
@@ -51,6 +51,7 @@
 @dataclass(frozen=True, slots=True)
 class LeaderSeen:
     controller: str | None
+    token: int
 
 
 Listener = Callable[[Elected | Renewed | Deposed | LeaderSeen], Awaitable[None]]
@@ -92,7 +93,7 @@
             # answer: that term is over either way, and nobody need wait for its lease.
             await self._state.end_lease(record.lease)
             return
-        await self._listener(LeaderSeen(record.controller))
+        await self._listener(LeaderSeen(record.controller, item.version))
         await self._await_change(item)
 
     async def _await_change(self, item: Item) -> None:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -138,6 +138,9 @@
     gate.relayed("m", seconds(8))
     assert gate.way("m", leading=False, leader="a", now=seconds(20)) is Way.RELAY
     assert gate.way("m", leading=False, leader="b", now=seconds(21)) is Way.REDIRECT
+    # One that comes from the leader is relayed at once, then sent back, and stays if it returns.
+    ways = [gate.way("n", False, "a", seconds(at), knows=True) for at in (1, 4, 10, 13)]
+    assert ways == [Way.RELAY, Way.REDIRECT, Way.RELAY, Way.RELAY]
 
 
 def test_the_finished_set_survives_in_chunks() -> None:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -133,6 +133,33 @@
     assert all(count == 1 for count in world.starts.values())
 
 
+def test_a_leader_that_loses_only_its_workers_keeps_their_leases_alive(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a detour longer than a lease: a worker that comes from a leader which does not
+    answer, and is sent back there, waits for two time-outs of 4 s."""
+
+    async def story(world: World) -> None:
+        # The longest interval that the protocol allows where reports come every three seconds.
+        world.fleet.report_s = 3.75
+        service = await world.run_job("daemon", 4, scatter=True, rank="production")
+        await world.until(lambda: world.running(service) == 4)
+        await curio.sleep(10)
+        leader = world.leader()
+        assert leader is not None
+        workers = list(world.fleet.workers.values())
+        for worker in workers:
+            world.network.cut(worker.name, f"c{leader}")
+        await curio.sleep(50)
+        for worker in workers:
+            await world.network.heal(worker.name, f"c{leader}")
+        await curio.sleep(30)
+        assert all(worker.session == 1 for worker in workers)
+
+    world = World().play(monkeypatch, story)
+    assert all(count == 1 for count in world.starts.values())
+
+
 @pytest.mark.parametrize("trouble", ["cut", "hang"])
 def test_work_of_a_silent_machine_moves_once_its_lease_is_over(
     monkeypatch: pytest.MonkeyPatch, trouble: str
