What a leader was returning right before its crash is returned again at once by the next

Change: machines with tasks that are returned, three or more at once, are written down (`leaving/<token>/<n>`) until the records name their tasks no more; a new leader asks the cloud for their end again at once. Its answer is certain, so no rule depends on the record.

--- a/micadeal/controller/dispatcher.py
+++ b/micadeal/controller/dispatcher.py
@@ -38,7 +38,15 @@
     WhyWanted,
     Written,
 )
-from micadeal.controller.records import DONE, FINISHED, IMAGES, PLACED, Changes, Recorder
+from micadeal.controller.records import (
+    DONE,
+    FINISHED,
+    IMAGES,
+    LEAVING,
+    PLACED,
+    Changes,
+    Recorder,
+)
 from micadeal.controller.scheduler import Scheduler
 from micadeal.fleet.cloud import LIST_EVERY, Cloud, CloudError, NoCapacity
 from micadeal.fleet.offers import Market
@@ -509,6 +517,7 @@
                 placed, _ = await self._state.range(PLACED, Urgency.LEASE)
                 placed += (await self._state.range(OLD_PLACED, Urgency.LEASE))[0]
                 images, _ = await self._state.range(IMAGES, Urgency.LEASE)
+                leaving, _ = await self._state.range(LEAVING, Urgency.LEASE)
                 finished, _ = await self._state.range(DONE, Urgency.LEASE)
                 finished += (await self._state.range(FINISHED, Urgency.LEASE))[0]
                 parts, _ = await self._state.range(PARTS, Urgency.LEASE)
@@ -518,7 +527,7 @@
             except StateError as problem:
                 log.info("loading: %s", problem)
                 await sleep(seconds(0.3))
-        await self.tell(Loaded(jobs, placed, images, finished, parts, ended, settings))
+        await self.tell(Loaded(jobs, placed, images, leaving, finished, parts, ended, settings))
         await self.tell(JobEvents([], asked, {}))
         await self._spawn(self._follow_settings, revision)
         await self._follow_jobs(revision)
@@ -617,6 +626,8 @@
                 self._cluster.load_placed(item.key, record, now)
         for item in loaded.images:
             self._load_images(item, now)
+        for item in loaded.leaving:
+            self._scheduler.return_again(self._recorder.load_leaving(item, now), now)
         for job in list(self._cluster.live_jobs()):
             if job.complete:
                 self._cluster.finished_dirty.add(job.id)
--- a/micadeal/controller/messages.py
+++ b/micadeal/controller/messages.py
@@ -48,6 +48,7 @@
     jobs: list[Item]
     placed: list[Item]
     images: list[Item]
+    leaving: list[Item]
     finished: list[Item]
     parts: list[Item]
     ended: dict[str, EndRecord]
--- a/micadeal/controller/records.py
+++ b/micadeal/controller/records.py
@@ -30,6 +30,7 @@
     FinishedRecord,
     ImagesRecord,
     Item,
+    LeavingRecord,
     PlacedMachine,
     PlacedRecord,
     Put,
@@ -54,6 +55,11 @@
 MOST_IMAGES = 12
 PLACED = "placed/"
 IMAGES = "images/"
+LEAVING = "leaving/"
+#: So many machines with tasks that are returned at once are written down for the next leader, and
+#: for how long: then records name what is left of them no more.
+MANY_LEAVING = 3
+LEAVING_TIME = seconds(40)
 #: Finished sets in chunks that every version reads, and in smaller ones.
 DONE = "done/"
 FINISHED = "finished/"
@@ -134,6 +140,9 @@
         self._gathering: dict[str, timedelta] = {}
         self._lazy_due = timedelta(0)
         self._pages: dict[str, tuple[ImagesRecord, timedelta]] = {}
+        #: Records of machines that are returned, and since when; all names in them.
+        self._leaving: dict[str, timedelta] = {}
+        self._left: set[str] = set()
 
     def drop(self, key: str) -> None:
         self._drops.add(key)
@@ -141,6 +150,18 @@
     def load_images(self, key: str, record: ImagesRecord, now: timedelta) -> None:
         self._pages[key] = (record, now)
 
+    def load_leaving(self, item: Item, now: timedelta) -> list[str]:
+        """Machines that an earlier leader was about to return, if that was a moment ago."""
+        self.versions[item.key] = item.version
+        self._leaving[item.key] = now
+        try:
+            record = convert(LeavingRecord, item.value)
+        except BadMessage as problem:
+            log.error("unreadable record %s: %s", item.key, problem)
+            return []
+        recent = wall().timestamp() - record.at < LEAVING_TIME.total_seconds()
+        return record.machines if recent else []
+
     def next(self, now: timedelta) -> list[Changes]:
         batches = self._ends()
         if not self._placing and self._cluster.unwritten:
@@ -264,6 +285,7 @@
         placed: list[tuple[str, tuple[Attempt, ...]]] = []
         # A third of a second's worth: the bucket refills while the batch is under way.
         most = min(self._limits.operations, max(4, int(self._limits.changes_per_s / 3)))
+        self._returns(now, operations)
         daring = self._finished(now, operations, finished, most)
         if len(operations) + 2 <= most:
             self._merge(now, operations, placed, most)
@@ -287,6 +309,30 @@
             daring=daring,
         )
 
+    def _returns(self, now: timedelta, operations: list[Put | Drop]) -> None:
+        """Machines with tasks that are being returned, many at once.
+
+        Without it the next leader, if this one is gone before the records of their tasks are
+        rewritten, waits a lease for machines that no longer exist.
+        """
+        names = [
+            name
+            for name, machine in self._cluster.machines.items()
+            if machine.release_asked is not None and machine.attempts and name not in self._left
+        ]
+        if len(names) >= MANY_LEAVING:
+            room = self._limits.value_bytes - 64
+            while names and sum(map(_json_size, names)) > room:
+                names.pop()
+            self._left.update(names)
+            key = f"{LEAVING}{self._cluster.token}/{len(self._left)}"
+            self._leaving[key] = now
+            operations.append(Put(key, LeavingRecord(wall().timestamp(), names)))
+        for key, since in list(self._leaving.items()):
+            if now - since > LEAVING_TIME:
+                del self._leaving[key]
+                self._drops.add(key)
+
     def _finished(
         self,
         now: timedelta,
--- a/micadeal/controller/scheduler.py
+++ b/micadeal/controller/scheduler.py
@@ -200,6 +200,18 @@
             self.releases.discard(name)
             self.cluster.machine_gone(name, now)
 
+    def return_again(self, names: Iterable[str], now: timedelta) -> None:
+        """Machines that an earlier leader was returning: the cloud is asked once more at once.
+
+        Its answer makes certain what else would be waited for a lease long.
+        """
+        for name in names:
+            machine = self.cluster.machines.get(name)
+            if machine is not None and machine.attempts:
+                machine.leaving = "an earlier leader returned it"
+                machine.release_asked = now
+                self.releases.add(name)
+
     # -- time ------------------------------------------------------------------------------
 
     def tick(self, now: timedelta, *, leases_count: bool = True) -> None:
--- a/micadeal/wire/state.py
+++ b/micadeal/wire/state.py
@@ -207,6 +207,16 @@
     machines: dict[str, list[str]]
 
 
+class LeavingRecord(msgspec.Struct):
+    """Under ``leaving/<token>/<n>``: machines with tasks that the cloud is asked to end.
+
+    Only a help for the next leader, which asks at once again instead of waiting for word of them.
+    """
+
+    at: float
+    machines: list[str]
+
+
 class SettingsRecord(msgspec.Struct, omit_defaults=True):
     """Under ``settings``: the operators' script and who may check what it evaluated to."""
 
--- a/tests/fakes/earlier.py
+++ b/tests/fakes/earlier.py
@@ -17,7 +17,7 @@
 UNKNOWN_FIELDS = {"waits_on", "cascade_age_ms", "leading_token", "wants_consent", "wants_told"}
 UNKNOWN_FIELDS |= {"word"}
 #: Where the earlier version neither reads nor writes.
-UNKNOWN_KEYS = ("finished/", "part/")
+UNKNOWN_KEYS = ("finished/", "part/", "leaving/")
 
 
 def forget(value: Any) -> Any:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -133,6 +133,35 @@
     assert all(count == 1 for count in world.starts.values())
 
 
+def test_what_a_leader_returned_right_before_its_crash_is_started_again_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a second lease's wait: the records name tasks on machines that are gone, and
+    the next leader could not tell them from machines that are only out of its sight."""
+
+    async def story(world: World) -> None:
+        service = await world.run_job("daemon", 4, rank="production", accelerators=2.0)
+        await world.until(lambda: world.running(service) == 4)
+        await curio.sleep(5)
+        for worker in world.fleet.workers.values():
+            for number in range(3):
+                world.network.cut(worker.name, f"c{number}")
+        gone = set(world.fleet.workers)
+        first = world.leader()
+        assert first is not None
+        world.crash(first)
+        await world.until(lambda: gone <= set(world.cloud.releases), limit=30)
+        await curio.sleep(1)
+        second = world.leader()
+        assert second is not None and not world.running(service)
+        world.crash(second)
+        assert await world.until(lambda: world.running(service) == 4, limit=30) < 12
+        await curio.sleep(60)
+        assert not [key for key in world.state.keys if key.startswith("leaving/")]
+
+    World(boot_s=2.0).play(monkeypatch, story)
+
+
 def test_a_leader_that_loses_only_its_workers_keeps_their_leases_alive(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
