--- a/micadeal/controller/plan.py
+++ b/micadeal/controller/plan.py
@@ -12,7 +12,6 @@
 from datetime import timedelta
 from heapq import heapify, heappop, heappush
 
-from micadeal.clock import ZERO, seconds
 from micadeal.controller.cluster import Cluster
 from micadeal.controller.delay import Delay
 from micadeal.controller.relief import Relief
@@ -43,9 +42,6 @@
 #: Room that is kept is not tied to other tasks of a job.
 NO_ZONES: Counter[str] = Counter()
 COMES_FREE = "room is likely to come free before a machine could be rented"
-GATHERED = "room for the whole gang is being gathered"
-#: For how long a gang finds no room, nor any to be rented, before machines are kept for it.
-GATHER_AFTER = seconds(15)
 WAITS_FOR_IMAGE = "waits a little for a machine that holds its image"
 #: New machines wished for in one pass, however much waits.
 MOST_WISHES = 200
@@ -142,8 +138,6 @@
         self.total: dict[str, tuple[float, float]] = cluster.usage()
         self.unplaced: list[Job] = []
         self.spot_scarce = self._spot_scarce()
-        #: Zones in which room is gathered for a gang.
-        self._gathering: set[str] = set()
 
     def _spot_scarce(self) -> bool:
         """Every spot offer was refused lately: what may use spot may then use ordinary too."""
@@ -439,11 +433,9 @@
                 if room.booked:
                     self._count_wish(room)
         if found is None:
-            gathers = self._gather(job)
-            job.reasons[GATHERED if gathers else self._no_room_reason(job)] += spec.tasks
+            job.reasons[self._no_room_reason(job)] += spec.tasks
             self.unplaced.append(job)
             return 0.0
-        job.roomless_since = job.gathers_in = None
         for room in dict.fromkeys(found):
             self._filled(room, spec)
         if all(room.up for room in found):
@@ -455,76 +447,10 @@
             self._count(job, spec.tasks)
             self.virtual[job.id] += spec.tasks
             self.plan.held.update(room.name for room in found if not room.wish)
-            job.reasons[GATHERED] += spec.tasks
+            job.reasons["room for the whole gang is being gathered"] += spec.tasks
             self.unplaced.append(job)
         return job.units * spec.tasks
 
-    def _gather(self, job: Job) -> bool:
-        """Keep machines for a gang that has waited for a while and for which none can be rented.
-
-        Without it every machine that comes free goes to whatever needs but one, and a gang of many
-        whole machines waits until there is nothing else to run.  One gang at a time is gathered for
-        in a zone, in the order of the pass, and only where enough machines will be empty by
-        themselves: those that will be so first are closed to others that come after it.
-        """
-        spec = job.spec
-        if spec.tasks == 1:
-            return False
-        if job.roomless_since is None:
-            job.roomless_since = self.now
-        if self.now - job.roomless_since < GATHER_AFTER:
-            return False
-        zones = self._emptying(spec)
-        zone = job.gathers_in
-        if zone not in zones or zone in self._gathering:
-            free = [z for z in sorted(zones) if z not in self._gathering]
-            zone = min(free, key=lambda z: zones[z][-1][0], default=None)
-        job.gathers_in = zone
-        if zone is None:
-            return False
-        self._gathering.add(zone)
-        for _, _, room in zones[zone]:
-            room.cleared_for = job.id
-            self.plan.held.add(room.name)
-            for picker in self._pickers.values():
-                picker.refresh(room)
-        return True
-
-    def _emptying(self, spec: Submission) -> dict[str, list[tuple[timedelta, int, Room]]]:
-        """Per zone the machines that would hold the whole gang, those first that will be empty
-        first, and in what time; zones with too few are left out."""
-        found: dict[str, list[tuple[timedelta, int, Room]]] = {}
-        for room in self.rooms:
-            machine = self.cluster.machines.get(room.name)
-            if machine is None or room.cleared_for not in (None, spec.job_id):
-                continue
-            if not allowed(spec, room.machine_type, room.zone, room.spot):
-                continue
-            ends = ZERO
-            for attempt in machine.attempts.values():
-                other = self.cluster.jobs[attempt.job_id]
-                if other.is_service:
-                    break
-                began = attempt.running_since or self.now
-                ends = max(ends, began + seconds(other.spec.estimate_s) - self.now)
-            else:
-                found.setdefault(room.zone if spec.one_zone else "", []).append(
-                    (ends, room.order, room)
-                )
-        result: dict[str, list[tuple[timedelta, int, Room]]] = {}
-        for zone, rooms in found.items():
-            rooms.sort(key=lambda entry: entry[:2])
-            places = 0
-            for count, (_, _, room) in enumerate(rooms, 1):
-                kind = self.cluster.types.get(room.machine_type)
-                if kind is not None:
-                    offer = Offer(room.machine_type, room.zone, room.spot)
-                    places += empty_room(room.name, offer, kind, 0, wish=False).places(spec)
-                if places >= spec.tasks:
-                    result[zone] = rooms[:count]
-                    break
-        return result
-
     def _gang_passes(self, job: Job, found: list[Room]) -> bool:
         """A gang waits for its slowest fetch, and all its room must come free in one place."""
         if not all(room.up for room in found):
