A new leader waits for machines that were cut off before it led

Change: what the cloud lists as running has booted; it is waited for as long as for a silent machine.

--- a/micadeal/controller/scheduler.py
+++ b/micadeal/controller/scheduler.py
@@ -170,8 +170,8 @@
             machine.address = machine.address or entry.address
             machine.missing_lists = 0
             machine.listed = True
-            if entry.status == "failed" and not machine.listed_failed:
-                machine.listed_failed = True
+            machine.listed_failed |= entry.status == "failed"
+            machine.listed_running |= entry.status == "running"
         for machine in self.cluster.machines.values():
             if machine.name not in present and machine.listed:
                 machine.missing_lists += 1
@@ -390,6 +390,11 @@
                 return "it is not heard of" if waited > silence + seconds(3) else None
             if machine.missing_lists > 3 and now - machine.known_since > seconds(60):
                 return "it is not listed any more"
+            if machine.listed_running:
+                # It has booted and is out of reach, as in a zone that was cut off before we led:
+                # it is waited for like one that we had heard of.
+                quiet = now - max(self.cluster.began, machine.known_since)
+                return "it is silent" if quiet > silence + SILENT_PATIENCE else None
             patience = seconds(kind.boot_s if kind else 60.0) * BOOT_PATIENCE
             return "it does not boot" if machine.age(now) > patience else None
         if machine.heard is not None and self._surely_gone(machine, now - machine.heard, now):
--- a/micadeal/fleet/model.py
+++ b/micadeal/fleet/model.py
@@ -100,6 +100,8 @@
     #: Jobs that failed on it since something last succeeded on it.
     errors: set[str] = field(default_factory=set)
     listed_failed: bool = False
+    #: The cloud says that it has booted, whether or not we have heard of it.
+    listed_running: bool = False
     #: What a pass derives from the attempts and images on it, kept until one of them changes.
     shape: MachineShape | None = None
     #: Has been in a list; how many lists in a row have missed it since.
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -6,7 +6,7 @@
 import pytest
 
 from micadeal.clock import steady
-from tests.fakes.world import World
+from tests.fakes.world import LEASE_S, World
 
 
 def test_an_array_a_gang_and_a_service_run(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -162,6 +162,35 @@
     World(boot_s=2.0).play(monkeypatch, story)
 
 
+def test_a_new_leader_waits_for_machines_that_were_cut_off_before_it_led(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against machines being given up as never booted: they are listed as running, come back
+    within the minute, and hold images."""
+
+    async def story(world: World) -> None:
+        first = await world.run_job("array", 4, run_s=70.0, accelerators=2.0)
+        await world.until(lambda: world.running(first) == 4)
+        await curio.sleep(10)
+        apart = sorted({worker.name for worker, _ in world.held(first)})
+        for name in apart:
+            for number in range(3):
+                world.network.cut(name, f"c{number}")
+        # Their leases are over, what ran there is started elsewhere, and no record names it.
+        await curio.sleep(LEASE_S + 14)
+        leader = world.leader()
+        assert leader is not None
+        world.crash(leader)
+        await curio.sleep(25)
+        for name in apart:
+            for number in range(3):
+                await world.network.heal(name, f"c{number}")
+        assert not set(apart) & set(world.cloud.releases)
+        await world.until_done(first)
+
+    World(boot_s=4.0).play(monkeypatch, story)
+
+
 def test_a_leader_that_loses_only_its_workers_keeps_their_leases_alive(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
