--- a/micadeal/cli/main.py
+++ b/micadeal/cli/main.py
@@ -61,9 +61,14 @@
     """A fair-share scheduler for clusters of rented machines."""
 
 
+options_option = click.option(
+    "--options", type=click.Path(path_type=Path), help="What is switched on (TOML)."
+)
+
+
 @main.command()
 @click.option("--config", required=True, type=click.Path(path_type=Path), help="Settings (TOML).")
-@click.option("--options", type=click.Path(path_type=Path), help="What is switched on (TOML).")
+@options_option
 def serve(config: Path, options: Path | None) -> None:
     """Run one controller until it is killed."""
     _set_up_logging()
@@ -97,9 +102,11 @@
 
 @main.command()
 @click.argument("file", type=click.Path(path_type=Path))
-def check(file: Path) -> None:
-    """Check a platform settings file."""
+@options_option
+def check(file: Path, options: Path | None) -> None:
+    """Check a platform settings file, and what is switched on."""
     platform = _platform(file)
+    _options(options)
     click.echo(
         f"{file}: fine: {platform.name} in {platform.zone}, {len(platform.peers)} peers, "
         f"{len(platform.teams)} teams"
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -18,6 +18,7 @@
 from micadeal.wire.codec import decode
 from micadeal.wire.mesh import MachineLine, Overview, StuckJob, TeamLine, WhyAnswer, WhyLine
 from micadeal.wire.users import JobAnswer, Status
+from tests.fakes.world import TEAMS, settings
 
 OVERVIEW = Overview(
     "c1", 41, 65.0, False,
@@ -118,3 +119,23 @@
     assert run(controller, "settings", "apply", str(script)).output == "applied\n"
     assert controller.settings["values"] == {"teams": {"red": {"weight": 2}}}
     assert run(controller, "settings", "show").output == script.read_text()
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("stand_in = true", ""),
+        ("stand_im = true", "stand_im"),
+        ("stand_in = 'yes'", "Expected 'bool'"),
+        ("stand_in", "bad options"),
+        (None, "No such file"),
+    ],
+)
+def test_what_is_switched_on_is_checked(tmp_path: Path, text: str | None, said: str) -> None:
+    config, options = tmp_path / "settings.toml", tmp_path / "options.toml"
+    config.write_text(settings(0, TEAMS))
+    if text is not None:
+        options.write_text(text)
+    done = CliRunner().invoke(main, ["check", str(config), "--options", str(options)])
+    assert done.exit_code == (2 if said else 0)
+    assert said in done.output
