A cancellation that finds the leader's mailbox full is kept and passed on later

Cause (found by reading the change): the leader's node has a cancellation on its list as soon as it is noted, so no peer tells of it again; if the actor's mailbox was full just then, the actor never heard of it and could go on answering workers out of touch as if it knew of all. Likewise "nothing of the job is left" counted from a leader whose lease may be over.

Change: what was not delivered is kept and goes first; news of the peers waits for it; a leader's own word on what is left counts only while its lease holds.

--- a/micadeal/controller/dispatcher.py
+++ b/micadeal/controller/dispatcher.py
@@ -283,7 +283,9 @@
             case ProgressWanted():
                 return Progress(scheduler.counts(), self._cascaded)
             case LeftWanted(job_id):
-                return not self._loaded or self._cluster.left_of(job_id)
+                # Without a lease that holds, another leader may have started what we know not of.
+                certain = self._loaded and self._power() is Power.FULL
+                return not certain or self._cluster.left_of(job_id)
             case WhyWanted(job_id):
                 return answers.why(scheduler, job_id, now)
             case OverviewWanted():
--- a/micadeal/controller/node.py
+++ b/micadeal/controller/node.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from datetime import timedelta
 from typing import Any
 
@@ -85,6 +85,8 @@
         self._leader: str | None = None
         #: The token of the leader last seen; 0: none was.
         self._leader_token = 0
+        #: Cancellations that the leader's actor had no room for.
+        self._to_pass_on: list[str] = []
 
     async def run(self) -> None:
         most = self._platform.max_connections
@@ -135,6 +137,8 @@
                 await self._tell(Extended(valid_until))
             case Deposed():
                 self._dispatcher = None
+                # The next term begins with reading all that is recorded.
+                self._to_pass_on.clear()
                 self._mesh.leading_token = 0
                 self._set_leader(None)
                 if self._term_task is not None:
@@ -149,21 +153,38 @@
         self._leader = name
         self._mesh.leader = name
 
-    async def _tell(self, message: Any) -> None:
+    async def _tell(self, message: Any) -> bool:
+        """Whether the leader's actor will get it, if there is one."""
         if self._dispatcher is not None:
             try:
                 await self._dispatcher.tell(message)
             except Overloaded:
                 log.warning("the leader's mailbox is full")
+                return False
+        return True
+
+    async def _pass_on(self, cancelled: Iterable[str]) -> bool:
+        """Tell the leader's actor of cancellations; whether it will get all that are known.
+
+        Guards ``ran_cancelled``: one that found the mailbox full is kept, since our list has it
+        already and nobody would tell of it again.
+        """
+        self._to_pass_on += cancelled
+        while self._to_pass_on:
+            # Taken off first: others may pass on meanwhile.
+            job_id = self._to_pass_on.pop(0)
+            if not await self._tell(CancelNotice(job_id)):
+                self._to_pass_on.insert(0, job_id)
+                return False
+        return True
 
     async def _on_pong(self, name: str, pong: Pong, cancelled: list[str]) -> None:
         # The term may end while an answer is waited for.
         dispatcher = self._dispatcher
         if dispatcher is not None:
-            for job_id in cancelled:
-                # Before the news that every cancellation is known.
-                await self._tell(CancelNotice(job_id))
-            await self._tell(self._peer_news())
+            if await self._pass_on(cancelled):
+                # Only now: it may say that every cancellation is known.
+                await self._tell(self._peer_news())
             progress = await dispatcher.ask(ProgressWanted(), ASK_TIME)
             self._desk.set_counts(progress.counts)
             self._desk.set_cascaded(progress.cascaded)
@@ -192,7 +213,7 @@
             needed = self._timing.majority - 1
         dispatcher = self._dispatcher
         if dispatcher is not None:
-            await self._tell(CancelNotice(job_id))
+            await self._pass_on([job_id])
         if await self._mesh.notify_cancel(job_id, needed):
             return True
         # Alone, a leader may say so once nothing of the job is left that anybody could keep alive.
@@ -415,7 +436,8 @@
         job_id = decode(Notice, request.body).job_id
         if self._standing is not None:
             self._standing.note(job_id, steady())
-        await self._tell(CancelNotice(job_id))
+        if self._dispatcher is not None:
+            await self._pass_on([job_id])
         return answer(200, True)
 
     async def _on_why(self, request: Request) -> Answer:
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -117,6 +117,7 @@
         self.starts: Counter[str] = Counter()
         self.done: set[str] = set()
         self.limits = {"red": 8.0, "blue": 12.0}
+        self.nodes: dict[int, Node] = {}
         self._powers: dict[str, HostPower] = {}
         self._jobs = 0
 
@@ -155,6 +156,7 @@
         network = EarlierNetwork if earlier else HostNetwork
         options = Options(stand_in=not earlier)
         node = Node(platform, network(self.network, name, power), options)
+        self.nodes[number] = node
         await curio.spawn(node.run, daemon=True)
 
     def crash(self, number: int) -> None:
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import logging
+from typing import Any
 
 import curio
 import pytest
 
 from bench.model_standin import GUARDS, explore
+from micadeal.actor import Overloaded
 from micadeal.clock import seconds
+from micadeal.controller.messages import CancelNotice
 from micadeal.controller.standing import MOST_TOLD, Standing
 from micadeal.http.message import Request
 from micadeal.leadership.standin import Timing
@@ -330,6 +333,35 @@
     assert news == ["req-1"]
 
 
+def test_a_cancellation_that_finds_the_leader_busy_is_not_lost(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards ``ran_cancelled``: it is on the leader's list, so nobody would tell of it again, and
+    the leader would go on answering as if it knew of all."""
+
+    async def story(world: World) -> None:
+        await curio.sleep(3)
+        node = world.nodes[_leader(world)]
+        dispatcher = node._dispatcher
+        assert dispatcher is not None
+        heard: list[Any] = []
+
+        async def full(message: Any) -> None:
+            raise Overloaded
+
+        async def free(message: Any) -> None:
+            heard.append(message)
+
+        monkeypatch.setattr(dispatcher, "tell", full)
+        assert not await node._pass_on(["req-1"])
+        assert not await node._pass_on([])
+        monkeypatch.setattr(dispatcher, "tell", free)
+        assert await node._pass_on(["req-2"])
+        assert heard == [CancelNotice("req-1"), CancelNotice("req-2")]
+
+    World().play(monkeypatch, story)
+
+
 def test_a_list_that_overflows_is_no_ground_to_stand_in() -> None:
     """Guards ``ran_cancelled``: what fell off the list could be kept alive."""
     standing = _standing()
