Reports are held while the next leader is elected, and answered by it

Workers that came to a live follower during the election were refused, went on to the controller in the cut zone and waited for their time-out of 4 s there.

Change: a controller in touch with the state service holds a report that nobody can answer for up to 2 s, a seventh of a lease at most, 1000 at once, and answers it as soon as it leads, another leader is known, or it stands in. The log says how soon half, 65 and 90% of the machines at work were heard of.

--- a/micadeal/controller/node.py
+++ b/micadeal/controller/node.py
@@ -42,7 +42,7 @@
 from micadeal.wire.codec import BadMessage, convert, decode
 from micadeal.wire.mesh import Notice, Overview, Ping, Pong, Relay, Relayed, WhyAnswer
 from micadeal.wire.state import Put, SettingsRecord
-from micadeal.wire.workers import Redirect, Report
+from micadeal.wire.workers import Orders, Redirect, Report
 
 log = logging.getLogger(__name__)
 
@@ -56,6 +56,13 @@
 #: would drop out, and the balancer would keep it out after the outage is over.
 PEER_CONTACT_TIME = seconds(2.5)
 RETRY = seconds(1)
+#: A worker's report is held for so long at most while the next leader is being elected, and for so
+#: much of a lease: workers give an answer up after 4 s, and have more controllers to try in time.
+HOLD_TIME = seconds(2)
+HOLD_SHARE = 1 / 7
+HOLD_LOOK = seconds(0.2)
+#: Reports held at once; more are refused, as all are where no election can succeed.
+MOST_HELD = 1000
 
 
 class Node:
@@ -89,6 +96,8 @@
         self._leader_token = 0
         #: Cancellations that the leader's actor had no room for.
         self._to_pass_on: list[str] = []
+        #: Reports that are held until a leader is known.
+        self._held = 0
 
     async def run(self) -> None:
         most = self._platform.max_connections
@@ -279,11 +288,46 @@
             report = decode(Report, request.body)
         except BadMessage as problem:
             return error(400, str(problem))
+        tried = self._leader
+        answered = await self._answer_report(report)
+        if answered.status != 503 or self._dispatcher is not None or not self._in_touch():
+            return answered
+        return await self._hold(report, tried, answered)
+
+    async def _hold(self, report: Report, tried: str | None, refused: Answer) -> Answer:
+        """Keep a report that nobody can answer until another leader is known, for a short time.
+
+        Guards against seconds without room after a leader's crash: a worker that is refused while
+        the election still goes on tries the next controller, and if that one is out of its reach
+        it waits for its time-out before it comes to the new leader.  What is held is answered
+        later than it was sent, so a lease is at most thought to last longer than it does.
+        """
+        if self._held >= MOST_HELD:
+            return refused
+        until = steady() + min(HOLD_TIME, self._platform.workers.lease * HOLD_SHARE)
+        self._held += 1
+        try:
+            while steady() < until:
+                await sleep(HOLD_LOOK)
+                if self._dispatcher is not None or self._leader not in (None, tried):
+                    return await self._answer_report(report)
+                orders = self._stand_in(report)
+                if orders is not None:
+                    return answer(200, orders)
+        finally:
+            self._held -= 1
+        return refused
+
+    def _stand_in(self, report: Report) -> Orders | None:
+        if self._standing is None or self._dispatcher is not None:
+            return None
+        return self._standing.answer(report, self._in_touch(), steady())
+
+    async def _answer_report(self, report: Report) -> Answer:
+        orders = self._stand_in(report)
+        if orders is not None:
+            return answer(200, orders)
         now = steady()
-        if self._standing is not None and self._dispatcher is None:
-            orders = self._standing.answer(report, self._in_touch(), now)
-            if orders is not None:
-                return answer(200, orders)
         knows = 0 < report.token == self._leader_token
         leading = self._dispatcher is not None
         way = self._gate.way(report.machine, leading, self._leader, now, knows)
--- a/micadeal/scheduling/scheduler.py
+++ b/micadeal/scheduling/scheduler.py
@@ -43,6 +43,8 @@
 COUNTING_TIME = seconds(4)
 #: Beyond the time that a task needs to save: until its end is reported, and the next pass.
 CLEARING_TIME = seconds(6)
+#: When so many of the machines at work have been heard of by a new leader, its log says so.
+HEARD_SHARES = (0.5, 0.65, 0.9)
 #: How often the log gets a line on machines and tasks.
 LINE_EVERY = seconds(15)
 #: Warm room, as a multiple of what comes in a boot time on average: some beyond it where room costs
@@ -107,6 +109,8 @@
         self._last_line: timedelta | None = None
         self._arrivals: dict[str, Arrivals] = {}
         self._direct_again: dict[str, timedelta] = {}
+        #: Shares of the machines whose first reports are still waited for, to be logged.
+        self._hearing = list(HEARD_SHARES)
 
     # -- events ----------------------------------------------------------------------------
 
@@ -225,6 +229,8 @@
             self.cluster.expire(now)
         self._drain(now)
         self._look_after_machines(now)
+        if self._hearing:
+            self._log_heard(now)
         if self._last_line is None or now - self._last_line >= LINE_EVERY:
             self._last_line = now
             log.info("%s", self._status_line())
@@ -234,6 +240,15 @@
         due = self._last_pass is None or now - self._last_pass >= self.policy.refresh
         return self.cluster.changed or due
 
+    def _log_heard(self, now: timedelta) -> None:
+        """How soon after taking over the machines were heard of: until then they get no work."""
+        known = [m for m in self.cluster.machines.values() if m.attempts or m.up]
+        heard = sum(1 for machine in known if machine.heard is not None)
+        while self._hearing and known and heard >= self._hearing[0] * len(known):
+            share = self._hearing.pop(0)
+            led = (now - self.cluster.began).total_seconds()
+            log.info("heard of %.0f%% of %d machines %.1f s after", share * 100, len(known), led)
+
     def _status_line(self) -> str:
         """Machines and booked accelerators at a glance, for the log."""
         cluster = self.cluster
--- a/tests/fakes/workers.py
+++ b/tests/fakes/workers.py
@@ -88,7 +88,7 @@
         self.notice_end: float | None = None
         self.hanging = False
         self.alive = True
-        self._renewed = steady().total_seconds()
+        self.renewed = steady().total_seconds()
         self._wake = curio.Event()
         self._token_told = 0.0
         self._at = next(iter(fleet.controllers))
@@ -111,10 +111,10 @@
 
     async def _step(self) -> None:
         now = steady().total_seconds()
-        if now - self._renewed > self.fleet.lease_s:
+        if now - self.renewed > self.fleet.lease_s:
             self.tasks.clear()
             self.session += 1
-            self._renewed = now
+            self.renewed = now
             await self._change()
         if self.hanging:
             return
@@ -225,7 +225,7 @@
         if session != self.session or token < self.token or not self.alive:
             return
         await self._see(token)
-        self._renewed = max(self._renewed, sent)
+        self.renewed = max(self.renewed, sent)
         for order in reply["orders"]:
             await self._execute(order)
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -6,6 +6,7 @@
 import pytest
 
 from micadeal.clock import steady
+from tests.fakes import state as state_fake
 from tests.fakes.world import LEASE_S, World
 
 
@@ -191,6 +192,32 @@
     World(boot_s=4.0).play(monkeypatch, story)
 
 
+def test_a_worker_that_comes_while_the_next_leader_is_elected_is_answered_by_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against seconds without room after a crash: who is refused meanwhile goes on to a
+    controller out of its reach, and waits for its time-out there."""
+
+    async def story(world: World) -> None:
+        service = await world.run_job("daemon", 4, rank="production", accelerators=2.0)
+        await world.until(lambda: world.running(service) == 4)
+        first = world.leader()
+        assert first is not None
+        apart = (first + 2) % 3
+        for worker in world.fleet.workers.values():
+            world.network.cut(worker.name, f"c{apart}")
+        world.network.cut(f"c{apart}", state_fake.HOST)
+        await curio.sleep(10)
+        world.crash(first)
+        await world.until(lambda: world.leader() not in (None, first))
+        elected = steady().total_seconds()
+        met = {worker for worker, _ in world.held(service)}
+        await world.until(lambda: all(worker.renewed > elected - 3 for worker in met))
+        assert steady().total_seconds() - elected < 3
+
+    World().play(monkeypatch, story)
+
+
 def test_a_leader_that_loses_only_its_workers_keeps_their_leases_alive(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
