Timing: windows for flexible work, series checked, holds in the pass; not fed yet

Change: micadeal/timing (pure): price and carbon series taken or refused by name, daily profile, errors of estimates by class, windows with room and hysteresis. scheduling/holding.py ties it to jobs: no demand while held, behind what can't wait in its team's order, why and overview say until when. Setting `flexible`, off by default; without it nothing of it is imported.

--- a/bench/profile_pass.py
+++ b/bench/profile_pass.py
@@ -1,6 +1,6 @@
 """Where a leader's processor time goes on a made-up picture of a large deployment.
 
-    python3 -m bench.profile_pass [--machines 700] [--jobs 200] [--profile]
+    python3 -m bench.profile_pass [--machines 700] [--jobs 200] [--held 10000] [--profile]
 
 A tool for maintainers: its seconds are this machine's and mean nothing elsewhere.  What must not
 grow is guarded by counts in `tests/test_scale.py`.
@@ -12,12 +12,19 @@
 import pstats
 import time
 from collections.abc import Callable
+from dataclasses import replace
+from datetime import UTC, datetime, timedelta
+from statistics import median
 
 import click
 
 from micadeal.clock import seconds
 from micadeal.controller.records import Recorder
+from micadeal.operator.policy import Flexible
+from micadeal.scheduling.holding import AT_ONCE, Holding
 from micadeal.state.limits import Limits
+from micadeal.timing.series import Quantity, Series
+from micadeal.wire.users import Priority, Shape
 from tests.fakes.picture import Picture
 
 
@@ -29,11 +36,50 @@
     click.echo(f"{what:<44}{spent:10.2f} ms")
 
 
+def hold_many(picture: Picture, held: int, step: Callable[[], None]) -> None:
+    """Passes without and with a held queue, turn by turn, and what choosing its windows takes."""
+    scheduler = picture.scheduler
+    wall = datetime(2026, 12, 1, 20, 0, tzinfo=UTC)
+    holding = Holding(picture.cluster, UTC, seconds(5))
+    prices = tuple(0.3 if hour < 5 or hour > 9 else 0.1 for hour in range(24))
+    day = timedelta(days=1)
+    holding.take(
+        Series("north", Quantity.PRICE, "EUR/kWh", "bench", wall, wall + day, wall, wall,
+               timedelta(hours=1), prices)
+    )  # fmt: skip
+    holding.learn([("nightly", 1.0)] * 100)
+    scheduler.policy = replace(scheduler.policy, flexible={"nightly": Flexible()})
+    without: list[float] = []
+    beside: list[float] = []
+
+    def turn(spent: list[float]) -> None:
+        began = time.process_time()
+        step()
+        spent.append(time.process_time() - began)
+
+    for _ in range(20):
+        turn(without)
+    for number in range(held):
+        picture.submit(
+            job_class="nightly", tasks=1, shape=Shape.ARRAY, priority=Priority.LOW, team="team-0",
+            gpus=0.1, deadline_s=36_000.0 + number, estimate_s=600.0 + number % 7 * 600,
+        )  # fmt: skip
+    scheduler.holding = holding
+    turns = held // AT_ONCE + 1
+    timed("windows: one turn", turns, lambda: scheduler.hold(picture.now, wall))
+    counted = scheduler.state_counts(picture.now)["held"]
+    for _ in range(20):
+        turn(beside)
+    ratio = median(beside) / median(without)
+    click.echo(f"  {counted} held; a pass takes {ratio:.2f} times what it took without them")
+
+
 @click.command()
 @click.option("--machines", default=700, show_default=True)
 @click.option("--jobs", default=200, show_default=True)
+@click.option("--held", default=0, help="Jobs held for a better hour beside the others.")
 @click.option("--profile", is_flag=True, help="List the costliest functions as well.")
-def main(machines: int, jobs: int, profile: bool) -> None:
+def main(machines: int, jobs: int, held: int, profile: bool) -> None:
     """Time the parts of a leader's work."""
     picture = Picture(machines, jobs)
     scheduler, cluster = picture.scheduler, picture.cluster
@@ -74,6 +120,8 @@
     for name in names[::10]:
         picture.report(name, done=1)
     timed("pass: some tasks have ended", 1, step)
+    if held:
+        hold_many(picture, held, step)
     if profile:
         profiler.disable()
         pstats.Stats(profiler).sort_stats("tottime").print_stats(25)
--- a/micadeal/operator/policy.py
+++ b/micadeal/operator/policy.py
@@ -16,6 +16,17 @@
     order: str = "priority"
 
 
+@dataclass(frozen=True, slots=True)
+class Flexible:
+    """A class of work that may be held for a cheaper or cleaner hour (docs/timing.md)."""
+
+    #: How much of the time between the first and the latest safe start may be used, 0 to 1.
+    slack: float = 0.8
+    #: What a unit of price and a unit of carbon count, per kWh.
+    money: float = 1.0
+    carbon: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Policy:
     #: How often shares are computed and starvation is looked at (design: 2 s).
@@ -25,6 +36,8 @@
     #: The same for half its fair share (design: starts at 30 s).
     share_timeout: timedelta = timedelta(seconds=30)
     teams: dict[str, TeamPolicy] = field(default_factory=dict)
+    #: By class of jobs; nothing else is ever held.
+    flexible: dict[str, Flexible] = field(default_factory=dict)
 
     def team(self, name: str) -> TeamPolicy:
         return self.teams.get(name, _DEFAULT)
--- a/micadeal/operator/script.py
+++ b/micadeal/operator/script.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from micadeal.clock import seconds
-from micadeal.operator.policy import Policy, TeamPolicy
+from micadeal.operator.policy import Flexible, Policy, TeamPolicy
 from micadeal.wire.codec import BadMessage, convert
 
 EXAMPLE = """\
@@ -22,6 +22,12 @@
     "team-a": {"weight": 2.0, "running_jobs": 40},
     "team-b": {"order": "submitted", "minimum_timeout_s": 5},
 }
+
+# Classes of jobs that may be held for a cheaper or cleaner hour (where timing is switched on): the
+# share of their slack that may be used, and what money and carbon count.
+flexible = {
+    "nightly-build": {"slack": 0.8, "money": 1.0, "carbon": 0.0},
+}
 """
 
 
@@ -36,11 +42,18 @@
     order: str = "priority"
 
 
+class _FlexibleValues(msgspec.Struct, forbid_unknown_fields=True):
+    slack: float = 0.8
+    money: float = 1.0
+    carbon: float = 0.0
+
+
 class _Values(msgspec.Struct, forbid_unknown_fields=True):
     refresh_s: float = 2.0
     minimum_timeout_s: float = 15.0
     share_timeout_s: float = 30.0
     teams: dict[str, _TeamValues] = {}
+    flexible: dict[str, _FlexibleValues] = {}
 
 
 def _check(name: str, value: float, least: float, most: float) -> None:
@@ -72,11 +85,20 @@
             None if team.minimum_timeout_s is None else seconds(team.minimum_timeout_s),
             team.order,
         )
+    flexible: dict[str, Flexible] = {}
+    for name, word in read.flexible.items():
+        _check(f"flexible[{name!r}].slack", word.slack, 0, 1)
+        _check(f"flexible[{name!r}].money", word.money, 0, 1e6)
+        _check(f"flexible[{name!r}].carbon", word.carbon, 0, 1e6)
+        if not word.money and not word.carbon:
+            raise BadScript(f"flexible[{name!r}] gives weight to neither money nor carbon")
+        flexible[name] = Flexible(word.slack, word.money, word.carbon)
     return Policy(
         seconds(read.refresh_s),
         seconds(read.minimum_timeout_s),
         seconds(read.share_timeout_s),
         teams,
+        flexible,
     )
 
 
--- a/micadeal/scheduling/answers.py
+++ b/micadeal/scheduling/answers.py
@@ -43,6 +43,15 @@
         lines.append((f"it has the priority of {job.lifted_by}, which needs it", 0))
     if job.blocked:
         return lines
+    hold = scheduler.holding.held(job, now) if scheduler.holding is not None else None
+    if hold is not None:
+        until = hold.until.strftime("%Y-%m-%d %H:%M UTC")
+        latest = hold.latest.strftime("%H:%M UTC")
+        lines.append((f"held for a better hour until {until}, to save {hold.saving:.0%}", 0))
+        lines.append(
+            (f"starts sooner if its window fills up or its price is lost; by {latest} anyway", 0)
+        )
+        return lines
     for reason, tasks in job.reasons.most_common():
         lines.append((reason, tasks))
     if job.errors:
@@ -109,7 +118,7 @@
         (now - cluster.began).total_seconds(),
         contact,
         _teams(scheduler),
-        dict(scheduler.state_counts()),
+        dict(scheduler.state_counts(now)),
         stuck,
         _machines(scheduler, now),
         _notes(scheduler, now),
@@ -155,6 +164,9 @@
         waited = now - max(job.ready, job.last_progress)
         failing = sum(job.errors.values()) > 2
         if failing or (waited >= STUCK_AFTER and not job.attempts and job.waiting_count()):
+            if scheduler.holding is not None and scheduler.holding.held(job, now) is not None:
+                # It waits because it may, and ``why`` tells until when.
+                continue
             found.append((waited, job))
     found.sort(key=lambda entry: (-entry[0], entry[1].id))
     lines: list[StuckJob] = []
--- a/micadeal/scheduling/cluster.py
+++ b/micadeal/scheduling/cluster.py
@@ -87,6 +87,9 @@
     gone: dict[str, timedelta] = field(default_factory=dict)
     #: Sums over finished attempts, for the overview and the tests.
     events: Counter[str] = field(default_factory=Counter)
+    #: Where timing is switched on: class of each task that ended, and the time that it took as a
+    #: multiple of its estimate.
+    ends: list[tuple[str, float]] | None = None
     #: Which of the jobs wait for which others.
     pipelines: Pipelines = field(init=False)
     _attempts: int = 0
@@ -384,6 +387,7 @@
         job = self.jobs.get(job_id)
         if job is not None and not job.over:
             if done:
+                self._learn(job, attempt, now)
                 self._done(job, index, machine, now)
             else:
                 self._failed(job, machine, attempt, task, now)
@@ -392,6 +396,12 @@
                 self._member_gone(attempt, now)
             self.release(attempt, now)
 
+    def _learn(self, job: Job, attempt: Attempt | None, now: timedelta) -> None:
+        since = None if attempt is None else attempt.running_since
+        if self.ends is not None and since is not None and job.spec.estimate_s > 0:
+            taken = (now - since).total_seconds()
+            self.ends.append((job.spec.job_class, taken / job.spec.estimate_s))
+
     def _done(self, job: Job, index: int, machine: Machine, now: timedelta) -> None:
         if job.is_service or index >= job.spec.tasks:
             return
--- a/micadeal/scheduling/passes.py
+++ b/micadeal/scheduling/passes.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from datetime import timedelta
 from heapq import heapify, heappop, heappush
+from typing import TYPE_CHECKING
 
 from micadeal.fleet.offers import Market, Offer
 from micadeal.jobs.model import Job
@@ -36,6 +37,10 @@
 from micadeal.wire.cloud import MachineType
 from micadeal.wire.users import Submission
 
+if TYPE_CHECKING:
+    # Imported where timing is switched on: others start without it.
+    from micadeal.scheduling.holding import Holding
+
 RESOURCES = ("gpus", "cpus")
 #: Room that is kept is not tied to other tasks of a job.
 NO_ZONES: Counter[str] = Counter()
@@ -67,7 +72,9 @@
         *,
         may_rent: bool,
         pending: Counter[Offer],
+        holding: Holding | None = None,
     ) -> None:
+        self.holding = holding
         self.cluster = cluster
         self.market = market
         self.policy = policy
@@ -149,7 +156,7 @@
         """Jobs with something waiting, less those past their team's running limit (source, 4.7)."""
         per_team: Counter[str] = Counter()
         result: list[Job] = []
-        for job in sorted(self.cluster.live_jobs(), key=self._job_order):
+        for job in sorted(self._open_jobs(), key=self._job_order):
             if job.spec.team not in self.cluster.teams or job.complete:
                 continue
             if job.blocked:
@@ -171,11 +178,20 @@
                 result.append(job)
         return result
 
+    def _open_jobs(self) -> Iterable[Job]:
+        """All but those that wait for a better hour: they count as no demand, as jobs past a limit
+        do, and are left out before anything is sorted, since there may be many."""
+        holding = self.holding
+        if holding is None:
+            return self.cluster.live_jobs()
+        return [job for job in self.cluster.live_jobs() if holding.held(job, self.now) is None]
+
     def _job_order(self, job: Job) -> tuple[int, timedelta, str]:
         rank, submitted, job_id = job.order
         if self.policy.team(job.spec.team).order == "submitted":
             rank = 0
-        return (rank, submitted, job_id)
+        place = self.holding.place(job) if self.holding is not None else None
+        return (rank, submitted if place is None else max(submitted, place), job_id)
 
     def _team_states(self, resource: str, jobs: list[Job]) -> dict[str, TeamState]:
         states: dict[str, TeamState] = {}
--- a/micadeal/scheduling/scheduler.py
+++ b/micadeal/scheduling/scheduler.py
@@ -7,7 +7,8 @@
 from collections import Counter, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from datetime import timedelta
+from datetime import datetime, timedelta
+from typing import TYPE_CHECKING
 
 from micadeal.clock import ZERO, seconds
 from micadeal.fleet.model import Attempt, Machine
@@ -25,6 +26,10 @@
 from micadeal.wire.users import Submission
 from micadeal.wire.workers import Order, Report
 
+if TYPE_CHECKING:
+    # Imported where timing is switched on: others start without it.
+    from micadeal.scheduling.holding import Holding
+
 log = logging.getLogger(__name__)
 
 MOST_PER_RENTAL = 50
@@ -111,6 +116,9 @@
         self._direct_again: dict[str, timedelta] = {}
         #: Shares of the machines whose first reports are still waited for, to be logged.
         self._hearing = list(HEARD_SHARES)
+        #: Holds flexible work for better hours; None: that is switched off.
+        self.holding: Holding | None = None
+        self._waited_for = frozenset(o.job_class for o in self.objectives if o.kind == "wait")
 
     # -- events ----------------------------------------------------------------------------
 
@@ -272,6 +280,12 @@
         waiting = sum(job.waiting_count() for job in cluster.live_jobs())
         return "; ".join([*parts, f"{waiting} tasks waiting"])
 
+    def hold(self, now: timedelta, wall: datetime) -> None:
+        """Before a pass, where timing is switched on: who is held until when."""
+        if self.holding is not None:
+            teams = self.plan.teams
+            self.holding.refresh(self.policy, teams, self._waited_for, now, wall)
+
     def run_pass(self, now: timedelta) -> None:
         self.cluster.changed = False
         self._last_pass = now
@@ -288,6 +302,7 @@
             now,
             may_rent=may_rent,
             pending=pending,
+            holding=self.holding,
         ).run()
         self.plan = plan
         for needy, victim in plan.kills:
@@ -465,11 +480,13 @@
                     break
         return result
 
-    def state_counts(self) -> Counter[str]:
+    def state_counts(self, now: timedelta) -> Counter[str]:
         states: Counter[str] = Counter()
         for job in self.cluster.live_jobs():
             if job.blocked:
                 states["blocked"] += 1
+            elif self.holding is not None and self.holding.held(job, now) is not None:
+                states["held"] += 1
             elif job.running_count():
                 states["running"] += 1
             elif job.attempts:
