A hold that ends while windows are chosen anew is over

Cause: found on rereading. Windows are chosen for 300 jobs at a time on a curve of some seconds ago; a job whose hour came in between could be given another, later one. No deadline was in danger, but what is released is not to be held again.

Change: the instant goes with each decision. A story fails without it. An unused method is gone.

--- a/micadeal/scheduling/holding.py
+++ b/micadeal/scheduling/holding.py
@@ -43,7 +43,7 @@
         self._cluster = cluster
         self._local = local
         #: How far apart clocks of controllers and feeds may be.
-        self.drift = drift
+        self._drift = drift
         self._signals: dict[tuple[str, Quantity], Signal] = {}
         self._errors = Errors()
         self._keepers: dict[str, Keeper] = {}
@@ -70,10 +70,6 @@
         for job_class, ratio in ends:
             self._errors.ended(job_class, ratio)
 
-    def last(self, zone: str, quantity: Quantity) -> Series | None:
-        signal = self._signals.get((zone, quantity))
-        return None if signal is None else signal.series
-
     # -- deciding --------------------------------------------------------------------------
 
     def refresh(
@@ -96,7 +92,7 @@
             job = self._queue.pop()
             keeper = self._keepers.get(job.spec.job_class)
             if keeper is not None and _may_wait(job):
-                keeper.consider(self._work(job))
+                keeper.consider(self._work(job), wall)
 
     def _begin(
         self,
@@ -167,7 +163,7 @@
         kinds = [k for k in self._cluster.types.values() if k.fetch_gb_per_s > 0]
         boot = max((k.boot_s for k in kinds), default=0.0)
         fetch = max((spec.image_gb / k.fetch_gb_per_s for k in kinds), default=0.0)
-        overhead = seconds(boot + fetch) + START_MARGIN + self.drift
+        overhead = seconds(boot + fetch) + START_MARGIN + self._drift
         latest = latest_safe_start(
             self._instant(job.ready),
             self._instant(job.latest),
@@ -205,8 +201,8 @@
             return None
         if not keeper.decided(job.id) and _may_wait(job) and not self._is_short(job):
             # It has come, or need not wait for others any more, since windows were chosen.
-            keeper.consider(self._work(job))
-        return keeper.held(job.id, self._wall + (now - self._at))
+            keeper.consider(self._work(job), self._instant(now))
+        return keeper.held(job.id, self._instant(now))
 
 
 def _may_wait(job: Job) -> bool:
--- a/micadeal/timing/shift.py
+++ b/micadeal/timing/shift.py
@@ -190,7 +190,7 @@
         }
         self.latest = {name: latest for name, latest in self.latest.items() if name in names}
 
-    def consider(self, work: Work) -> None:
+    def consider(self, work: Work, now: datetime) -> None:
         """Decide on one job, on the curve and beside those that came before it.
 
         Who has the least time is to come first: later deadlines give way then.  Who finds every
@@ -200,7 +200,11 @@
         if work.job_id in self._released:
             return
         former = self.holds.pop(work.job_id, None)
-        hold = None if self._planner is None else self._planner.choose(work, former)
+        # Guards against work that is held again though its hour came while others had their turn.
+        over = former is not None and former.until <= now
+        hold = None
+        if self._planner is not None and not over:
+            hold = self._planner.choose(work, former)
         if hold is None:
             self._released.add(work.job_id)
         else:
--- a/tests/test_timing.py
+++ b/tests/test_timing.py
@@ -147,7 +147,7 @@
 ) -> None:
     keeper.begin({work.job_id for work in works}, night, now, pools)
     for work in sorted(works, key=lambda work: work.latest):
-        keeper.consider(work)
+        keeper.consider(work, now)
 
 
 def plan(
@@ -393,3 +393,16 @@
     for wrong in ('{"slack": 1.5}', '{"money": -1}', '{"money": 0}', '{"window": 3}'):
         with pytest.raises(BadScript, match=r"policy\.star:2"):
             evaluate(f'refresh_s = 2\nflexible = {{"nightly": {wrong}}}\n', "policy.star")
+
+
+def test_a_hold_that_ends_while_windows_are_chosen_is_over() -> None:
+    """Guards against a job that is held again though its hour has come: windows are chosen for some
+    jobs at a time, on a curve that is a little older."""
+    keeper = Keeper()
+    work = Work("a", 1.0, HOUR, NOW + 5 * HOUR)
+    refresh(keeper, [work], curve(0.3, 0.1, 0.3, 0.3, 0.3, 0.3), NOW)
+    begun = NOW + HOUR - timedelta(seconds=5)
+    later = Curve([begun + i * HOUR for i in range(7)], [0.3, 0.3, 0.3, 0.01, 0.3, 0.3])
+    keeper.begin({"a"}, later, begun, ROOMY)
+    keeper.consider(work, NOW + HOUR)
+    assert keeper.held("a", NOW + HOUR) is None
