Tests of timing: five guards that no story caught

Need: twenty guards and rules of timing were taken out one by one; for five no test failed (a window beyond what is known, a profile that learns guesses, the place in the team's order, rounds of an array, errors learned from ends).

--- a/tests/test_timing.py
+++ b/tests/test_timing.py
@@ -406,3 +406,62 @@
     keeper.begin({"a"}, later, begun, ROOMY)
     keeper.consider(work, NOW + HOUR)
     assert keeper.held("a", NOW + HOUR) is None
+
+
+def test_no_window_reaches_beyond_what_is_known() -> None:
+    work = Work("a", 1.0, 2 * HOUR, NOW + 8 * HOUR)
+    assert plan([work], curve(0.3, 0.3, 0.2, 0.01), NOW, None, {})["a"].until == NOW + 2 * HOUR
+    assert plan([work], curve(0.3), NOW, None, {}) == {}
+
+
+def test_a_profile_learns_what_was_measured_and_no_guess() -> None:
+    profile = Profile(UTC)
+    profile.learn(take(document(measured_until=(NOW + HOUR).isoformat())))
+    assert profile.at(NOW + HOUR / 2) == 0.30
+    assert profile.at(NOW + HOUR) is None
+
+
+def test_flexible_work_goes_behind_what_can_not_wait() -> None:
+    picture = dusk()
+    assert picture.scheduler.holding is not None
+    # A flat price: nothing is held, but it still has time.
+    picture.scheduler.holding.take(take(document(points=points(*[0.3] * 12))))
+    flexible = picture.submit(**(NIGHTLY | {"tasks": 8}))
+    daily = picture.submit(**(NIGHTLY | {"job_class": "daily", "tasks": 8, "deadline_s": 36_000}))
+    go(picture)
+    assert picture.scheduler.holding.held(flexible, picture.now) is None
+    assert len(daily.attempts) == 6 and not flexible.attempts
+
+
+def test_an_array_that_takes_several_rounds_must_start_sooner() -> None:
+    picture = dusk()
+    go(picture)
+    guarantee = int(picture.cluster.teams["team-0"].gpus)
+    job = picture.submit(**(NIGHTLY | {"tasks": 3 * guarantee, "deadline_s": 8 * 3600.0}))
+    picture.submit(**(NIGHTLY | {"job_class": "daily", "tasks": 1}))
+    go(picture, 0.01)
+    go(picture, 0.01)
+    assert picture.scheduler.holding is not None
+    hold = picture.scheduler.holding.held(job, picture.now)
+    assert hold is not None and NOW + 4 * HOUR < hold.latest < NOW + 4.8 * HOUR
+
+
+def test_the_error_of_estimates_is_learned_from_what_ends() -> None:
+    picture = dusk(ends=19)
+    job = picture.submit(**NIGHTLY)
+    go(picture)
+    assert job.attempts
+    picture.cluster.written("placed/7/1", list(job.all_attempts()), picture.now)
+    go(picture)
+    go(picture)
+    picture.now += 2 * HOUR
+    for name in picture.cluster.machines:
+        picture.report(name, done=2)
+    go(picture, 0.1)
+    # Twice its estimate, and a tenth more: an hour is counted as 2.2.
+    later = picture.submit(**NIGHTLY)
+    go(picture, 0.01)
+    assert picture.scheduler.holding is not None
+    hold = picture.scheduler.holding.held(later, picture.now)
+    latest = NOW + (later.submitted - seconds(100)) + 9 * HOUR - 2.2 * HOUR
+    assert hold is not None and latest - HOUR / 10 < hold.latest < latest + HOUR / 20
