Rereading: one rule for lists kept long enough, no list built unasked, no state kept twice

Behaviour stays as it is.

Change: View.keeps_list says in one place what standing in and counting cancellations both asked; a word to a peer builds its list of cancellations only if that was asked for; the dispatcher takes its beginning from the cluster; Holding sets policy, teams and instants in one place; an unused property is gone.

--- a/micadeal/controller/dispatcher.py
+++ b/micadeal/controller/dispatcher.py
@@ -93,7 +93,6 @@
         self._resign = resign
         self._peers: list[PeerContact | None] = [None for _ in platform.peers]
         self._timing = timing
-        self._began = now
         self._views: tuple[View, ...] = ()
         self._told_by: timedelta | None = None
         self._cluster = Cluster(term.token, platform.workers, platform.teams, now)
@@ -146,7 +145,7 @@
         """
         if self._timing is None:
             return True
-        return may_count_lease_over(self.token, self._began, self._views, now, self._timing)
+        return may_count_lease_over(self.token, self._cluster.began, self._views, now, self._timing)
 
     # -- messages --------------------------------------------------------------------------
 
--- a/micadeal/controller/standing.py
+++ b/micadeal/controller/standing.py
@@ -96,14 +96,16 @@
             self._memory = self._memory.bind(consent, now + self.timing.consent)
         memory = self._memory
         bound = ZERO if memory.bound_until is None else memory.bound_until - now
-        told = {n: (now - at).total_seconds() * 1000 for n, at in self._told.items()}
+        told = None
+        if ping.wants_told:
+            told = {n: (now - at).total_seconds() * 1000 for n, at in self._told.items()}
         return mesh.Word(
             (now - memory.born).total_seconds() * 1000,
             whole,
             consent,
             memory.bound_token,
             bound.total_seconds() * 1000,
-            told if ping.wants_told else None,
+            told,
         )
 
     def _hear_leader(self, name: str, token: int, now: timedelta) -> None:
--- a/micadeal/leadership/standin.py
+++ b/micadeal/leadership/standin.py
@@ -150,6 +150,11 @@
             told=asked if word.told and word.synced else self.told,
         )
 
+    def keeps_list(self, now: timedelta, timing: Timing) -> bool:
+        """Whether it has kept a list of cancellations for so long that nothing told by a version
+        without lists, which tells "cancelled" by itself, is of any concern."""
+        return self.speaks_since is not None and now - self.speaks_since >= timing.settled
+
 
 def synced(memory: Memory, views: Iterable[View], now: timedelta, timing: Timing) -> bool:
     """Whether our list of cancellations lacks nothing: what an earlier process of ours had on it
@@ -178,8 +183,7 @@
         return False
     consents = 0
     for view in views:
-        # A controller of a version without lists tells "cancelled" by itself.
-        if view.speaks_since is None or now - view.speaks_since < timing.settled:
+        if not view.keeps_list(now, timing):
             return False
         if view.consent == memory.token and view.consent_until is not None:
             consents += now < view.consent_until
@@ -213,7 +217,7 @@
     taken in all lists that it was given; None if it can't say."""
     told: list[timedelta] = []
     for view in views:
-        if view.speaks_since is None or now - view.speaks_since < timing.settled:
+        if not view.keeps_list(now, timing):
             return None
         if view.told is not None:
             told.append(view.told)
--- a/micadeal/scheduling/holding.py
+++ b/micadeal/scheduling/holding.py
@@ -86,7 +86,9 @@
         ``teams``: of the last pass, by resource.  ``waits``: classes that somebody waits for.
         """
         if self._at is None or (not self._queue and now - self._at >= REFRESH):
-            self._begin(policy, teams, waits, now, wall)
+            self._at, self._wall = now, wall
+            self._policy, self._teams = policy, teams
+            self._begin(waits)
         # Guards against a leader that answers nobody for a second: 10,000 jobs take that long.
         for _ in range(min(len(self._queue), AT_ONCE)):
             job = self._queue.pop()
@@ -94,17 +96,9 @@
             if keeper is not None and _may_wait(job):
                 keeper.consider(self._work(job), wall)
 
-    def _begin(
-        self,
-        policy: Policy,
-        teams: Mapping[str, Mapping[str, TeamState]],
-        waits: frozenset[str],
-        now: timedelta,
-        wall: datetime,
-    ) -> None:
-        self._at, self._wall = now, wall
-        self._policy, self._teams = policy, teams
-        self._note_short(now)
+    def _begin(self, waits: frozenset[str]) -> None:
+        policy, wall = self._policy, self._wall
+        self._note_short()
         self.learn(self._cluster.ends or ())
         self._cluster.ends = []
         found = {name: self._errors.factor(name) for name in policy.flexible if name not in waits}
@@ -115,7 +109,7 @@
             if jobs is not None and _may_wait(job) and not self._is_short(job):
                 jobs.append(job)
         everyone = [job for jobs in by_class.values() for job in jobs]
-        shares = {_pool(job): _share(job, teams) for job in everyone}
+        shares = {_pool(job): _share(job, self._teams) for job in everyone}
         pools = Pools({name: share for name, share in shares.items() if math.isfinite(share)})
         self._keepers = {name: self._keepers.get(name) or Keeper() for name in by_class}
         for name, jobs in by_class.items():
@@ -124,8 +118,9 @@
         # Taken from the end: the least time comes first.
         self._queue = sorted(everyone, key=lambda job: (job.latest, job.id), reverse=True)
 
-    def _note_short(self, now: timedelta) -> None:
+    def _note_short(self) -> None:
         """Which teams wait for room below their guarantee, and since when."""
+        assert self._at is not None
         usage = self._cluster.usage()
         short = {
             (name, resource)
@@ -133,7 +128,7 @@
             for name, state in states.items()
             if booked(usage[name], resource) < min(state.minimum, state.demand) - EPSILON
         }
-        self._short_since = {team: self._short_since.get(team, now) for team in short}
+        self._short_since = {team: self._short_since.get(team, self._at) for team in short}
 
     def _is_short(self, job: Job) -> bool:
         since = self._short_since.get((job.spec.team, job.resource))
--- a/micadeal/timing/series.py
+++ b/micadeal/timing/series.py
@@ -219,10 +219,6 @@
             hours = (edges[index + 1] - edges[index]) / timedelta(hours=1)
             self._sums.append(self._sums[-1] + rate * hours)
 
-    @property
-    def start(self) -> datetime:
-        return self.edges[0]
-
     @property
     def end(self) -> datetime:
         return self.edges[-1]
