--- a/micadeal/controller/dispatcher.py
+++ b/micadeal/controller/dispatcher.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
-from functools import partial
 from typing import Any
 
 from micadeal.actor import Actor
@@ -16,6 +15,7 @@
 from micadeal.controller.feeds import Feeds
 from micadeal.controller.helpers import Helpers
 from micadeal.controller.intake import Intake
+from micadeal.controller.levels import Levels
 from micadeal.controller.messages import (
     CancelNotice,
     CatalogRead,
@@ -25,6 +25,7 @@
     JobEvents,
     JobsRead,
     LeftWanted,
+    LevelMoved,
     ListRead,
     Loaded,
     NewSettings,
@@ -36,13 +37,14 @@
     RentalAnswer,
     Reply,
     ReportIn,
+    StockTold,
+    StockWanted,
     Tick,
     WhyWanted,
     Written,
 )
-from micadeal.controller.records import (
-    Recorder,
-)
+from micadeal.controller.raising import Raising
+from micadeal.controller.records import Recorder
 from micadeal.fleet.cloud import Cloud
 from micadeal.fleet.offers import Market
 from micadeal.http.network import Network
@@ -50,6 +52,7 @@
 from micadeal.leadership.term import PeerContact, Power, Term
 from micadeal.operator.platform import Platform
 from micadeal.operator.policy import Policy
+from micadeal.rollout.steps import Stock
 from micadeal.scheduling import answers
 from micadeal.scheduling.cluster import Cluster, HigherToken
 from micadeal.scheduling.scheduler import Scheduler
@@ -83,9 +86,11 @@
         types: list[MachineType],
         resign: Callable[[], None],
         network: Network,
+        levels: Levels,
         timing: Timing | None = None,
     ) -> None:
-        """``timing``: of standing in for a leader; None: nobody ever does."""
+        """``levels``: as of when the term began; ``timing``: of standing in for a leader, None:
+        nobody ever does."""
         super().__init__(bound=2000)
         now = steady()
         self._platform = platform
@@ -99,7 +104,8 @@
         self._scheduler = Scheduler(self._cluster, Market(), Policy(), platform.objectives, now)
         if types:
             self._scheduler.set_catalog(types)
-        self._recorder = Recorder(self._cluster, state.limits, state.present)
+        self._levels = levels
+        self._recorder = Recorder(self._cluster, state.limits, state.present, levels.record)
         self._effort = Effort(now)
         self._pass_due = ZERO
         self._loaded = False
@@ -112,8 +118,11 @@
         self._cascaded: timedelta | None = None
         self._helpers = Helpers()
         self._intake = Intake(self._scheduler, self._recorder)
-        self._feeds = Feeds(state, cloud, self.tell, self._helpers)
-        self._errands = Errands(term.token, state, cloud, network, self.tell, resign)
+        self._raising = Raising(levels, state, term, self.ask, self.tell)
+        self._feeds = Feeds(state, cloud, self.tell, self._helpers, levels.record.oldest)
+        self._errands = Errands(
+            term.token, state, cloud, network, self.tell, resign, self._raising.look_again
+        )
 
     @property
     def token(self) -> int:
@@ -123,7 +132,13 @@
 
     async def run(self) -> None:
         try:
-            for work in (self._feeds.load, self._ticks, self._feeds.lists, self._feeds.catalogs):
+            for work in (
+                self._feeds.load,
+                self._ticks,
+                self._feeds.lists,
+                self._feeds.catalogs,
+                self._raising.run,
+            ):
                 await self._helpers.spawn(work)
             await super().run()
         finally:
@@ -202,10 +217,19 @@
         match message:
             case ReportIn(report):
                 return self._report(report, now)
-            case DirectAnswer(report):
-                self._direct_answer(report, now)
+            case DirectAnswer(machine, answered):
+                self._in_direct.discard(machine)
+                if answered is not None:
+                    self._direct_answer(answered, now)
             case Extended(valid_until):
                 self._term = replace(self._term, valid_until=valid_until)
+            case LevelMoved(record, fence):
+                self._term = replace(self._term, fence=fence)
+                self._recorder.level_moved(record)
+            case StockWanted():
+                # Until all is read, there may be more.
+                stock = self._recorder.stock() if self._loaded else Stock(older=1, newer=1)
+                return StockTold(stock, self._intake.highest_level)
             case PeerNews(peers, views, told_by):
                 self._peers = list(peers)
                 self._views = views or ()
@@ -255,12 +279,14 @@
             case WhyWanted(job_id):
                 return answers.why(scheduler, job_id, now)
             case OverviewWanted():
-                return answers.overview(
+                found = answers.overview(
                     scheduler,
                     self._platform.name,
                     now,
                     contact=self._power() is Power.FULL,
                 )
+                found.level = self._levels.line(now)
+                return found
         return None
 
     def _informed(self, asked: timedelta) -> None:
@@ -334,8 +360,7 @@
             self._cluster.direct.discard(name)
             self._in_direct.add(name)
             message = DirectOrders(self.token, machine.session, self._cluster.stops_for(machine))
-            over = partial(self._in_direct.discard, name)
-            await self._helpers.spawn(self._errands.direct, name, machine.address, message, over)
+            await self._helpers.spawn(self._errands.direct, name, machine.address, message)
 
     # -- carrying out ----------------------------------------------------------------------
 
@@ -344,7 +369,7 @@
         await self._send_stops()
         for changes in self._recorder.next(steady()):
             self._effort.add("changes asked for", times=len(changes.operations))
-            await self._helpers.spawn(self._errands.write, changes)
+            await self._helpers.spawn(self._errands.write, changes, self._term.fence)
         for request in list(scheduler.rentals.values()):
             if request.request not in self._renting:
                 self._renting.add(request.request)
--- a/micadeal/controller/errands.py
+++ b/micadeal/controller/errands.py
@@ -9,16 +9,18 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from micadeal.actor import Overloaded
 from micadeal.clock import seconds
 from micadeal.controller.messages import DirectAnswer, ReleaseAnswer, RentalAnswer, Written
 from micadeal.controller.records import Changes
 from micadeal.fleet.cloud import Cloud, CloudError, NoCapacity
 from micadeal.http.message import HttpError
 from micadeal.http.network import Network
+from micadeal.rollout.seat import LEADER, token_of
 from micadeal.state.service import Conflict, Refused, StateError, StateService, Urgency
 from micadeal.waiting import sleep
 from micadeal.wire.cloud import RentalRequest
-from micadeal.wire.codec import decode, encode
+from micadeal.wire.codec import BadMessage, decode, encode
 from micadeal.wire.state import Condition, Item
 from micadeal.wire.workers import DirectOrders, Report
 
@@ -28,7 +30,8 @@
 
 
 class Errands:
-    """``resign`` is called when another leader is found to exist."""
+    """``resign`` is called when another leader is found to exist, ``moved`` when the fence of our
+    own term is another than the one that a write depended on."""
 
     def __init__(
         self,
@@ -38,6 +41,7 @@
         network: Network,
         tell: Callable[[Any], Awaitable[None]],
         resign: Callable[[], None],
+        moved: Callable[[], None],
     ) -> None:
         self._token = token
         self._state = state
@@ -45,25 +49,30 @@
         self._network = network
         self._tell = tell
         self._resign = resign
+        self._moved = moved
 
-    async def direct(
-        self, name: str, address: str, message: DirectOrders, over: Callable[[], None]
-    ) -> None:
-        """Command one worker; ``over`` is called in any case, its report is told."""
+    async def direct(self, name: str, address: str, message: DirectOrders) -> None:
+        """Command one worker; its report is told, or that there is none."""
+        report: Report | None = None
         try:
             _, body = await self._network.client(address, 0).request(
                 "POST", "/commands", encode(message), timeout=DIRECT_TIME
             )
-            await self._tell(DirectAnswer(decode(Report, body)))
+            report = decode(Report, body)
         except (HttpError, ValueError) as problem:
             log.debug("%s could not be commanded: %s", name, problem)
-        finally:
-            over()
+        while True:
+            try:
+                await self._tell(DirectAnswer(name, report))
+                return
+            except Overloaded:
+                # Guards ``ran_cancelled``: one that is never told of as over is never asked again.
+                await sleep(seconds(0.3))
 
-    async def write(self, changes: Changes) -> None:
+    async def write(self, changes: Changes, fence: int) -> None:
         """Write a batch; every change depends on our still being the leader, and on the version
         last known of its key, so that a batch applied late can't undo a newer one."""
-        conditions = [Condition("leader", self._token), *changes.conditions]
+        conditions = [Condition(LEADER, fence), *changes.conditions]
         revision: int | None = None
         found: dict[str, Item | None] | None = None
         refused = False
@@ -72,23 +81,25 @@
                 conditions, changes.operations, changes.urgency, timeout=seconds(3)
             )
         except Conflict:
-            found = await self._read_back(changes)
+            found = await self._read_back(changes, fence)
         except Refused:
             refused = True
-            found = await self._read_back(changes)
+            found = await self._read_back(changes, fence)
         except StateError as problem:
             log.debug("a write failed: %s", problem)
             await sleep(seconds(0.2))
-            found = await self._read_back(changes)
+            found = await self._read_back(changes, fence)
         await self._tell(Written(changes, revision, found, refused))
 
-    async def _read_back(self, changes: Changes) -> dict[str, Item | None]:
+    async def _read_back(self, changes: Changes, fence: int) -> dict[str, Item | None]:
         """After a failed or unknown outcome: what the service holds now."""
         while True:
             try:
-                leader = await self._state.get("leader", Urgency.LEASE)
-                if leader is None or leader.version != self._token:
+                leader = await self._state.get(LEADER, Urgency.LEASE)
+                if leader is None or self._token_of(leader) != self._token:
                     self._resign()
+                elif leader.version != fence:
+                    self._moved()
                 return {
                     condition.key: await self._state.get(condition.key, Urgency.PLACEMENT)
                     for condition in changes.conditions
@@ -96,6 +107,14 @@
             except StateError:
                 await sleep(seconds(0.3))
 
+    @staticmethod
+    def _token_of(leader: Item) -> int:
+        try:
+            return token_of(leader)
+        except BadMessage:
+            # Nobody's: whoever wrote it, we do not lead by it.
+            return 0
+
     async def rent(self, request: RentalRequest) -> None:
         """Ask until there is a definite answer: the same name never rents twice."""
         names: list[str] | None = None
--- a/micadeal/controller/feeds.py
+++ b/micadeal/controller/feeds.py
@@ -9,9 +9,11 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import curio
+
 from micadeal.clock import seconds, steady
 from micadeal.controller.helpers import Helpers
-from micadeal.controller.intake import OLD_PLACED, placed_of
+from micadeal.controller.intake import placed_of
 from micadeal.controller.messages import (
     CatalogRead,
     EndRead,
@@ -21,9 +23,17 @@
     Loaded,
     NewSettings,
 )
-from micadeal.controller.records import DONE, FINISHED, IMAGES, LEAVING, PLACED
+from micadeal.controller.records import (
+    DONE,
+    FINISHED,
+    IMAGES,
+    LEAVING,
+    OLD_PLACED,
+    PLACED,
+)
 from micadeal.controller.stored import JOBS, PARTS, part_keys
 from micadeal.fleet.cloud import LIST_EVERY, Cloud, CloudError
+from micadeal.rollout.levels import Level
 from micadeal.state.service import StateError, StateService, TooOld, Urgency
 from micadeal.waiting import sleep
 from micadeal.wire.codec import BadMessage, convert
@@ -43,7 +53,10 @@
         cloud: Cloud,
         tell: Callable[[Any], Awaitable[None]],
         helpers: Helpers,
+        oldest: int,
     ) -> None:
+        """``oldest``: no record of an earlier layout is stored (rollout/levels.py)."""
+        self._oldest = oldest
         self._state = state
         self._cloud = cloud
         self._tell = tell
@@ -72,25 +85,49 @@
         while True:
             try:
                 asked = steady()
-                jobs, revision = await self._state.range(JOBS, Urgency.LEASE)
-                placed, _ = await self._state.range(PLACED, Urgency.LEASE)
-                placed += (await self._state.range(OLD_PLACED, Urgency.LEASE))[0]
-                images, _ = await self._state.range(IMAGES, Urgency.LEASE)
-                leaving, _ = await self._state.range(LEAVING, Urgency.LEASE)
-                finished, _ = await self._state.range(DONE, Urgency.LEASE)
-                finished += (await self._state.range(FINISHED, Urgency.LEASE))[0]
-                parts, _ = await self._state.range(PARTS, Urgency.LEASE)
-                settings = await self._state.get(SETTINGS, Urgency.LEASE)
-                ended = await self._ended(jobs, placed)
+                loaded, revision = await self._read_all()
                 break
             except StateError as problem:
                 log.info("loading: %s", problem)
                 await sleep(seconds(0.3))
-        await self._tell(Loaded(jobs, placed, images, leaving, finished, parts, ended, settings))
+        await self._tell(loaded)
         await self._tell(JobEvents([], asked, {}))
         await self._helpers.spawn(self._follow_settings, revision)
         await self._follow_jobs(revision)
 
+    async def _read_all(self) -> tuple[Loaded, int]:
+        """What only leaders change is read all at once: nobody else leads.  Parts of descriptions
+        are read after the jobs that they belong to, or one that was just accepted would lack
+        them."""
+        older = (OLD_PLACED, DONE) if self._oldest < Level.FENCED else ()
+        prefixes = (PLACED, IMAGES, LEAVING, FINISHED, *older)
+        found: dict[str, list[Item] | StateError] = {}
+
+        async def read(prefix: str) -> None:
+            try:
+                found[prefix], _ = await self._state.range(prefix, Urgency.LEASE)
+            except StateError as problem:
+                found[prefix] = problem
+
+        async with curio.TaskGroup() as group:
+            for prefix in prefixes:
+                await group.spawn(read, prefix)
+            jobs, revision = await self._state.range(JOBS, Urgency.LEASE)
+            parts, _ = await self._state.range(PARTS, Urgency.LEASE)
+            settings = await self._state.get(SETTINGS, Urgency.LEASE)
+
+        def items(prefix: str) -> list[Item]:
+            read = found.get(prefix, [])
+            if isinstance(read, StateError):
+                raise read
+            return read
+
+        placed = items(PLACED) + items(OLD_PLACED)
+        ended = await self._ended(jobs, placed)
+        finished = items(DONE) + items(FINISHED)
+        images, leaving = items(IMAGES), items(LEAVING)
+        return Loaded(jobs, placed, images, leaving, finished, parts, ended, settings), revision
+
     async def _ended(self, jobs: list[Item], placed: list[Item]) -> dict[str, EndRecord]:
         """End records of jobs that are over but may have tasks on machines: these count still."""
         alive = {item.key[len(JOBS) :] for item in jobs}
--- a/micadeal/controller/intake.py
+++ b/micadeal/controller/intake.py
@@ -11,7 +11,7 @@
 
 from micadeal.clock import steady_at
 from micadeal.controller.messages import Loaded
-from micadeal.controller.records import DONE, FINISHED, Recorder
+from micadeal.controller.records import DONE, FINISHED, OLD_PLACED, Recorder
 from micadeal.controller.stored import JOBS, part_keys, whole
 from micadeal.jobs.model import CHUNK, SMALL_CHUNK, Job
 from micadeal.operator.policy import Policy
@@ -30,9 +30,6 @@
 
 log = logging.getLogger(__name__)
 
-#: Placements in the layout of earlier versions: read, and replaced as they change.
-OLD_PLACED = "machine/"
-
 
 def placed_of(item: Item) -> PlacedRecord | None:
     """A record of placements in either layout; None if it can't be read."""
@@ -53,6 +50,8 @@
         self._scheduler = scheduler
         self._cluster = scheduler.cluster
         self._recorder = recorder
+        #: The highest level that the operators allow; None: any.
+        self.highest_level: int | None = None
 
     def take_over(self, loaded: Loaded, now: timedelta) -> None:
         """Build the picture from all that the state service held when the term began."""
@@ -157,9 +156,11 @@
         """Take operators' settings up; if they make no sense, those in force stay."""
         if item is None:
             self._scheduler.policy = Policy()
+            self.highest_level = None
             return
         try:
             record = convert(SettingsRecord, item.value)
+            self.highest_level = record.highest_level
             self._scheduler.policy = policy_from_values(record.values)
         except ValueError as problem:
             log.error("the stored settings are refused: %s", problem)
--- a/micadeal/controller/mesh.py
+++ b/micadeal/controller/mesh.py
@@ -11,6 +11,7 @@
 import curio
 
 from micadeal.clock import seconds, steady
+from micadeal.controller.levels import Levels
 from micadeal.controller.standing import Standing
 from micadeal.http.message import HttpError
 from micadeal.http.network import AnyClient, Network
@@ -60,12 +61,14 @@
         peers: tuple[Peer, ...],
         network: Network,
         standing: Standing | None,
+        levels: Levels,
         in_touch: Callable[[], bool],
     ) -> None:
         """``standing``: None where standing in is switched off; ``in_touch``: with the state
         service."""
         self._name = name
         self._standing = standing
+        self._levels = levels
         self._in_touch = in_touch
         self._links = {
             peer.name: _Link(peer, network.client(peer.address, 4), network.client(peer.address, 1))
@@ -86,6 +89,8 @@
             try:
                 leading = self.leading_token
                 message = Ping(self._name, wants_counts=self.leader == link.peer.name)
+                message.leading_token = leading
+                message.process = self._levels.introduction(asked)
                 if self._standing is not None:
                     self._standing.ping(message, leading, self._in_touch(), asked)
                 status, body = await link.pings.request(
@@ -109,6 +114,7 @@
     ) -> None:
         now = steady()
         cancelled: list[str] = []
+        self._levels.hear(link.peer.name, pong, asked, now)
         if self._standing is not None:
             cancelled = self._standing.hear(link.peer.name, pong.word, asked, now, leading)
         link.heard, link.pong = now, pong
--- a/micadeal/controller/messages.py
+++ b/micadeal/controller/messages.py
@@ -9,9 +9,10 @@
 from micadeal.controller.records import Changes
 from micadeal.leadership.standin import View
 from micadeal.leadership.term import PeerContact
+from micadeal.rollout.steps import Stock
 from micadeal.wire.cloud import ListedMachine, MachineType, RentalRequest
 from micadeal.wire.mesh import Counts
-from micadeal.wire.state import EndRecord, Event, Item
+from micadeal.wire.state import EndRecord, Event, Item, LevelRecord
 from micadeal.wire.workers import Report
 
 
@@ -22,9 +23,10 @@
 
 @dataclass(frozen=True, slots=True)
 class DirectAnswer:
-    """A worker's report in answer to a direct command."""
+    """A worker's report in answer to a direct command; None: there was no answer."""
 
-    report: Report
+    machine: str
+    report: Report | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +34,26 @@
     valid_until: timedelta
 
 
+@dataclass(frozen=True, slots=True)
+class LevelMoved:
+    """The level is another, and so is the version that our writes depend on."""
+
+    record: LevelRecord
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class StockWanted:
+    """For the next step of the level; answered with ``StockTold``."""
+
+
+@dataclass(frozen=True, slots=True)
+class StockTold:
+    stock: Stock
+    #: The highest level that the operators allow; None: any.
+    ceiling: int | None
+
+
 @dataclass(frozen=True, slots=True)
 class PeerNews:
     peers: tuple[PeerContact | None, ...]
--- a/micadeal/controller/node.py
+++ b/micadeal/controller/node.py
@@ -14,6 +14,7 @@
 from micadeal.controller.desk import Desk
 from micadeal.controller.dispatcher import Dispatcher
 from micadeal.controller.feeds import SETTINGS
+from micadeal.controller.levels import Levels
 from micadeal.controller.mesh import Mesh
 from micadeal.controller.messages import (
     CancelNotice,
@@ -31,11 +32,19 @@
 from micadeal.fleet.gate import Gate, Way
 from micadeal.http.message import Answer, HttpError, Request, answer, error
 from micadeal.http.network import Network, TcpNetwork
-from micadeal.leadership.election import Deposed, Elected, Election, LeaderSeen, Renewed
+from micadeal.leadership.election import (
+    Deposed,
+    Elected,
+    Election,
+    LeaderSeen,
+    Renewed,
+    SeatSeen,
+)
 from micadeal.leadership.standin import Timing
 from micadeal.operator.options import Options
 from micadeal.operator.platform import Platform
 from micadeal.operator.script import policy_from_values
+from micadeal.rollout.levels import Build, Level
 from micadeal.scheduling.cluster import lease_over
 from micadeal.state.service import Refused, StateError, StateService, Urgency
 from micadeal.waiting import sleep
@@ -71,7 +80,9 @@
         platform: Platform,
         network: Network | None = None,
         options: Options | None = None,
+        build: Build | None = None,
     ) -> None:
+        """``build``: what this program can read and serve; None: all that it can."""
         self._network = network or TcpNetwork()
         self._platform = platform
         self._state = StateService(
@@ -83,12 +94,26 @@
         if self._timing is not None:
             peers = [peer.name for peer in platform.peers]
             self._standing = Standing(peers, self._timing, steady())
+        now = steady()
+        self._levels = Levels(platform.name, [peer.name for peer in platform.peers], now, build)
         self._mesh = Mesh(
-            platform.name, platform.peers, self._network, self._standing, self._in_touch
+            platform.name,
+            platform.peers,
+            self._network,
+            self._standing,
+            self._levels,
+            self._in_touch,
         )
         self._desk = Desk(self._state, platform.teams, self._spread, platform.workers.cancel)
         self._gate = Gate()
-        self._election = Election(platform.name, self._state, self._on_election)
+        self._election = Election(
+            platform.name,
+            self._levels.process,
+            wall().timestamp(),
+            self._state,
+            self._on_election,
+            lambda: self._levels.deference(steady()),
+        )
         self._dispatcher: Dispatcher | None = None
         self._term_task: Any = None
         self._leader: str | None = None
@@ -128,9 +153,14 @@
 
     # -- election --------------------------------------------------------------------------
 
-    async def _on_election(self, event: Elected | Renewed | Deposed | LeaderSeen) -> None:
+    async def _on_election(
+        self, event: Elected | Renewed | Deposed | LeaderSeen | SeatSeen
+    ) -> None:
         match event:
-            case Elected(term):
+            case SeatSeen(seat):
+                self._levels.seen(seat)
+            case Elected(term, seat):
+                self._levels.seen(seat)
                 self._set_leader(self._platform.name)
                 self._dispatcher = Dispatcher(
                     self._platform,
@@ -140,6 +170,7 @@
                     self._desk.types,
                     self._election.resign,
                     self._network,
+                    self._levels,
                     self._timing,
                 )
                 self._mesh.leading_token = term.token
@@ -259,13 +290,18 @@
         return error(404, "no such path")
 
     async def _submit(self, request: Request) -> Answer:
-        return await self._desk.submit(request.body)
+        return self._misfit() or await self._desk.submit(request.body)
 
     async def _status(self, request: Request) -> Answer:
-        return await self._desk.status(request.path.split("/")[2])
+        return self._misfit() or await self._desk.status(request.path.split("/")[2])
 
     async def _cancel(self, request: Request) -> Answer:
-        return await self._desk.cancel(request.path.split("/")[2])
+        return self._misfit() or await self._desk.cancel(request.path.split("/")[2])
+
+    def _misfit(self) -> Answer | None:
+        """Refuses users where we can't read, or must not write, what is stored."""
+        why = self._levels.refusal
+        return None if why is None else error(503, why, RETRY)
 
     async def _ready(self, _: Request) -> Answer:
         """Whether users are better served here than elsewhere.
@@ -274,6 +310,8 @@
         """
         if not self._desk.types:
             return error(503, "the machine types are not known yet")
+        if self._levels.misfit is not None:
+            return error(503, self._levels.misfit)
         contact = self._state.answered
         now = steady()
         if contact is not None and now - contact < CONTACT_TIME:
@@ -321,6 +359,9 @@
     def _stand_in(self, report: Report) -> Orders | None:
         if self._standing is None or self._dispatcher is not None:
             return None
+        if self._levels.acts_at < Level.FENCED:
+            # Not all may know of it yet, or some may be about to forget.
+            return None
         return self._standing.answer(report, self._in_touch(), steady())
 
     async def _answer_report(self, report: Report) -> Answer:
@@ -395,7 +436,9 @@
             policy_from_values(sent.values)
         except ValueError as problem:
             return error(400, str(problem))
-        record = SettingsRecord(sent.script, wall().timestamp(), sent.values)
+        if sent.highest_level is not None and sent.highest_level < 0:
+            return error(400, "highest_level must be 0 or more")
+        record = SettingsRecord(sent.script, wall().timestamp(), sent.values, sent.highest_level)
         if not self._state.present.fits(record):
             return error(400, "the script is too large for the state service")
         try:
@@ -440,6 +483,7 @@
 
     async def _on_ping(self, request: Request) -> Answer:
         ping = decode(Ping, request.body)
+        self._levels.told(ping.leading_token, ping.process)
         counts = []
         cascade_age = None
         if ping.wants_counts and self._dispatcher is not None:
@@ -465,6 +509,7 @@
                 self._mesh.reaches(),
                 cascade_age,
                 word,
+                self._levels.introduction(steady()),
             ),
         )
 
--- a/micadeal/controller/records.py
+++ b/micadeal/controller/records.py
@@ -19,6 +19,8 @@
 from micadeal.clock import seconds, wall
 from micadeal.fleet.model import Attempt, Machine
 from micadeal.jobs.model import CHUNK, SMALL_CHUNK, Job, to_bits
+from micadeal.rollout.levels import Level
+from micadeal.rollout.steps import Stock
 from micadeal.scheduling.cluster import Cluster
 from micadeal.state.limits import Limits
 from micadeal.state.service import Urgency
@@ -31,6 +33,7 @@
     ImagesRecord,
     Item,
     LeavingRecord,
+    LevelRecord,
     PlacedMachine,
     PlacedRecord,
     Put,
@@ -63,6 +66,10 @@
 #: Finished sets in chunks that every version reads, and in smaller ones.
 DONE = "done/"
 FINISHED = "finished/"
+#: Placements in the layout of earlier versions: read, and replaced as they change.
+OLD_PLACED = "machine/"
+#: A record of another layout is rewritten no more often than this.
+REWRITE_EVERY = seconds(0.5)
 #: Ends of jobs under way at once.
 MOST_ENDING = 4
 
@@ -126,7 +133,14 @@
     is written so as long as the service takes it, that is within ``present``.
     """
 
-    def __init__(self, cluster: Cluster, limits: Limits, present: Limits | None = None) -> None:
+    def __init__(
+        self,
+        cluster: Cluster,
+        limits: Limits,
+        present: Limits | None = None,
+        level: LevelRecord | None = None,
+    ) -> None:
+        """``level``: which layouts are written, and whether later ones are written back."""
         self._cluster = cluster
         self._limits = limits
         self._present = present or limits
@@ -143,6 +157,28 @@
         #: Records of machines that are returned, and since when; all names in them.
         self._leaving: dict[str, timedelta] = {}
         self._left: set[str] = set()
+        self._level = level or LevelRecord()
+        #: Parts of finished sets that this term has written since the level last moved.
+        self._carried: set[str] = set()
+        self._rewrite_due = timedelta(0)
+
+    @property
+    def _writes(self) -> int:
+        return self._level.writes
+
+    def level_moved(self, level: LevelRecord) -> None:
+        if level.writes != self._writes:
+            self._carried.clear()
+        self._level = level
+
+    def stock(self) -> Stock:
+        """Records in layouts other than those written now."""
+        keys = [key for key in self.versions if key.startswith((DONE, FINISHED, OLD_PLACED))]
+        small = sum(key.startswith(FINISHED) for key in keys)
+        if self._writes >= Level.FENCED:
+            return Stock(older=len(keys) - small)
+        stuck = sum(not self._pieces(key) for key in keys if key.startswith(FINISHED))
+        return Stock(newer=small, stuck=stuck)
 
     def drop(self, key: str) -> None:
         self._drops.add(key)
@@ -296,6 +332,8 @@
                 operations.append(Drop(key))
             else:
                 self._drops.discard(key)
+        if not operations:
+            daring = self._rewrite(now, operations, finished, most)
         if not operations:
             self._images(now, operations)
         if not operations:
@@ -372,7 +410,7 @@
         for chunk in sorted({index // CHUNK for index in fresh}):
             indexes = job.within(chunk * CHUNK, CHUNK)
             record = FinishedRecord(to_bits(indexes, chunk * CHUNK))
-            if self._present.fits(record):
+            if self._writes < Level.FENCED and self._present.fits(record):
                 yield f"{DONE}{job.id}/{chunk}", indexes, record
                 continue
             for small in sorted({index // SMALL_CHUNK for index in fresh & indexes}):
@@ -380,6 +418,67 @@
                 record = FinishedRecord(to_bits(indexes, small * SMALL_CHUNK))
                 yield f"{FINISHED}{job.id}/{small}", indexes, record
 
+    def _pieces(self, key: str) -> list[tuple[str, frozenset[int], FinishedRecord]]:
+        """What a part of a finished set in another layout becomes in the one written now; nothing
+        if its job is over, or if it fits no value."""
+        prefix, job_id, chunk = key.split("/")
+        job = self._cluster.jobs.get(job_id)
+        if job is None or job.over or not chunk.isdigit():
+            return []
+        if prefix + "/" == DONE:
+            start, size, into, target = int(chunk) * CHUNK, CHUNK, SMALL_CHUNK, FINISHED
+        else:
+            start, size, into, target = int(chunk) * SMALL_CHUNK, SMALL_CHUNK, CHUNK, DONE
+        found = []
+        for number in sorted({index // into for index in job.within(start, size)}):
+            indexes = job.within(number * into, into)
+            record = FinishedRecord(to_bits(indexes, number * into))
+            if not self._present.fits(record):
+                return []
+            found.append((f"{target}{job_id}/{number}", indexes, record))
+        return found
+
+    def _rewrite(
+        self,
+        now: timedelta,
+        operations: list[Put | Drop],
+        finished: list[tuple[str, frozenset[int]]],
+        most: int,
+    ) -> bool:
+        """One record of another layout, when nothing else is to be written; whether a value fits
+        the service's present limits only.
+
+        All that it holds is written in the present layout first, and it is dropped after: whoever
+        reads in between finds both, which say the same.  The next leader finds what is left.
+        """
+        if now < self._rewrite_due:
+            return False
+        self._rewrite_due = now + REWRITE_EVERY
+        if self._writes >= Level.FENCED:
+            for key in self._cluster.records:
+                if key.startswith(OLD_PLACED):
+                    # As if something of it were gone: it is merged into a shared record.
+                    self._cluster.shrunk.setdefault(key, now)
+        elif self._level.level == self._writes:
+            # Small parts are there where a value of the first layout was too large.
+            return False
+        old = DONE if self._writes >= Level.FENCED else FINISHED
+        daring = False
+        for key in [key for key in self.versions if key.startswith(old)]:
+            pieces = self._pieces(key)
+            missing = [piece for piece in pieces if piece[0] not in self._carried]
+            for target, indexes, record in missing[: most - 1]:
+                operations.append(Put(target, record))
+                job_id = target.split("/")[1]
+                self._cluster.jobs[job_id].stored.add(target)
+                finished.append((job_id, indexes))
+                daring = daring or not self._limits.fits(record)
+            if pieces and not missing:
+                operations.append(Drop(key))
+            if operations:
+                return daring
+        return daring
+
     def _merge(
         self,
         now: timedelta,
@@ -446,6 +545,8 @@
         for operation in changes.operations:
             if isinstance(operation, Put):
                 self.versions[operation.key] = revision
+                if operation.key.startswith((DONE, FINISHED)):
+                    self._carried.add(operation.key)
         if changes.ends is not None:
             job_id, end = changes.ends
             job = self._cluster.jobs.get(job_id)
@@ -465,6 +566,10 @@
                 self.versions.pop(operation.key, None)
                 self._drops.discard(operation.key)
                 self._cluster.record_gone(operation.key)
+                if operation.key.startswith((DONE, FINISHED)):
+                    job = self._cluster.jobs.get(operation.key.split("/")[1])
+                    if job is not None:
+                        job.stored.discard(operation.key)
         for job_id, indexes in changes.finished:
             job = self._cluster.jobs.get(job_id)
             if job is not None and not job.over:
--- a/micadeal/leadership/election.py
+++ b/micadeal/leadership/election.py
@@ -1,4 +1,4 @@
-"""Who leads: one key in the state service, attached to a lease that the leader keeps alive."""
+"""Who leads: one seat in the state service, held by a lease that the leader keeps alive."""
 
 from __future__ import annotations
 
@@ -7,8 +7,11 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from micadeal.clock import seconds, steady
+from micadeal.clock import ZERO, seconds, steady
 from micadeal.leadership.term import Term
+from micadeal.rollout import seat as seats
+from micadeal.rollout.membership import Process
+from micadeal.rollout.seat import MEMBER, Seat
 from micadeal.state.service import (
     Conflict,
     LeaseGone,
@@ -19,12 +22,10 @@
     lease_end,
 )
 from micadeal.waiting import sleep
-from micadeal.wire.codec import BadMessage, convert
-from micadeal.wire.state import Condition, Item, LeaderRecord, Put
+from micadeal.wire.codec import BadMessage
 
 log = logging.getLogger(__name__)
 
-LEADER_KEY = "leader"
 #: Default: short, since no task is started while it runs out after a crash; several renewals
 #: still fit into it, so that one slow answer of the state service costs nothing.
 LEASE_TIME = timedelta(seconds=3)
@@ -35,6 +36,8 @@
 @dataclass(frozen=True, slots=True)
 class Elected:
     term: Term
+    #: All that was recorded when we stood; the level is as it was then.
+    seat: Seat
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +58,17 @@
     token: int
 
 
-Listener = Callable[[Elected | Renewed | Deposed | LeaderSeen], Awaitable[None]]
+@dataclass(frozen=True, slots=True)
+class SeatSeen:
+    seat: Seat
+
+
+Listener = Callable[[Elected | Renewed | Deposed | LeaderSeen | SeatSeen], Awaitable[None]]
+
+
+async def read_seat(state: StateService) -> Seat:
+    items, revision = await state.range(seats.LEADER, Urgency.LEASE)
+    return seats.read(items, revision)
 
 
 class Election:
@@ -64,16 +77,35 @@
     Owns the lease.  ``resign`` is the only thing others may ask of it.
     """
 
-    def __init__(self, name: str, state: StateService, listener: Listener) -> None:
+    def __init__(
+        self,
+        name: str,
+        process: Process,
+        started_at: float,
+        state: StateService,
+        listener: Listener,
+        deference: Callable[[], timedelta] = lambda: ZERO,
+    ) -> None:
+        """``started_at``: time of day; ``deference``: how long to leave an empty seat to others."""
         self._name = name
+        self._process = process
+        self._started_at = started_at
         self._state = state
         self._listener = listener
+        self._deference = deference
         self._watch = state.watch_client()
-        self._resigned = False
+        self._resigned: str | None = None
+        self._standing = True
+        self._registered = False
+
+    def resign(self, why: str = "a higher token was seen") -> None:
+        """Another leads, or shall lead, and not we."""
+        self._resigned = why
 
-    def resign(self) -> None:
-        """A higher token was seen: whoever holds it leads, not we."""
-        self._resigned = True
+    def retire(self) -> None:
+        """This process is about to end: hand over, and stand no more."""
+        self._standing = False
+        self.resign("this process ends")
 
     async def run(self) -> None:
         while True:
@@ -84,48 +116,63 @@
                 await sleep(timedelta(milliseconds=300))
 
     async def _round(self) -> None:
-        item = await self._state.get(LEADER_KEY, Urgency.LEASE)
-        if item is None:
-            await self._stand()
-            return
-        record = convert(LeaderRecord, item.value)
-        if record.controller == self._name:
-            # Our own earlier process, or a transaction of ours that was applied without an
-            # answer: that term is over either way, and nobody need wait for its lease.
-            await self._state.end_lease(record.lease)
+        seat = await read_seat(self._state)
+        if not self._registered or MEMBER + self._name not in seat.versions:
+            # Never again otherwise: two processes under one name would go on replacing each other.
+            seat = await self._register(seat)
+        await self._listener(SeatSeen(seat))
+        if seat.taken and seat.leader is not None:
+            if seat.leader.controller == self._name:
+                # Our own earlier process, or a transaction of ours that was applied without an
+                # answer: that term is over either way, and nobody need wait for its lease.
+                await self._state.end_lease(seat.lease)
+                await sleep(timedelta(milliseconds=20))
+                return
+            await self._listener(LeaderSeen(seat.leader.controller, seat.token))
+        elif self._standing and seats.refusal(seat, self._name, self._process) is None:
+            await self._stand(seat)
             return
-        await self._listener(LeaderSeen(record.controller, item.version))
-        await self._await_change(item)
+        await self._await_change(seat)
 
-    async def _await_change(self, item: Item) -> None:
-        after = item.version
+    async def _register(self, seat: Seat) -> Seat:
+        """Write the record of our process, before it takes part in anything."""
+        if not seats.registered(seat, self._name, self._process):
+            conditions, changes = seats.registration(
+                seat, self._name, self._process, self._started_at
+            )
+            await self._state.commit(conditions, changes, Urgency.LEASE)
+            seat = await read_seat(self._state)
+        self._registered = True
+        return seat
+
+    async def _await_change(self, seat: Seat) -> None:
+        after = seat.revision
         while True:
             try:
-                found = await self._state.changes(LEADER_KEY, after, WATCH_HOLD, self._watch)
+                found = await self._state.changes(seats.LEADER, after, WATCH_HOLD, self._watch)
             except TooOld:
                 return
-            if any(event.version > item.version for event in found.events):
+            if any(event.version > seat.revision for event in found.events):
                 return
             after = max(after, found.revision)
             if not found.events:
                 # A watch that was opened on a connection since cut would never tell: look again.
                 return
 
-    async def _stand(self) -> None:
+    async def _stand(self, seat: Seat) -> None:
+        await sleep(self._deference())
         sent = steady()
         lease = await self._state.new_lease(LEASE_TIME)
-        record = LeaderRecord(controller=self._name, lease=lease)
+        conditions, changes = seats.standing(seat, self._name, self._process, lease)
         try:
-            token = await self._state.commit(
-                [Condition(LEADER_KEY, 0)], [Put(LEADER_KEY, record, lease)], Urgency.LEASE
-            )
+            token = await self._state.commit(conditions, changes, Urgency.LEASE)
         except Conflict:
             await self._state.end_lease(lease)
             return
-        self._resigned = False
-        term = Term(token, lease, lease_end(sent, LEASE_TIME), sent)
+        self._resigned = None if self._standing else self._resigned
+        term = Term(token, lease, lease_end(sent, LEASE_TIME), sent, token)
         log.info("elected with token %d", token)
-        await self._listener(Elected(term))
+        await self._listener(Elected(term, seat))
         why = await self._keep(term)
         log.info("term %d is over: %s", token, why)
         await self._listener(Deposed(token, why))
@@ -135,12 +182,12 @@
         due = steady() + RENEW_EVERY
         while True:
             await sleep(due - steady())
-            if self._resigned:
+            if self._resigned is not None:
                 try:
                     await self._state.end_lease(term.lease)
                 except StateError:
                     log.debug("the lease of token %d is left to run out", term.token)
-                return "a higher token was seen"
+                return self._resigned
             sent = steady()
             due = sent + RENEW_EVERY
             try:
--- a/micadeal/leadership/term.py
+++ b/micadeal/leadership/term.py
@@ -43,6 +43,9 @@
     valid_until: timedelta
     #: The last instant at which we certainly knew of every cancellation.
     informed: timedelta
+    #: The version of ``leader`` that every write depends on; moves with the level
+    #: (rollout/seat.py).
+    fence: int = 0
 
     def power(
         self,
--- /dev/null
+++ b/micadeal/rollout/seat.py
@@ -0,0 +1,211 @@
+"""All that is recorded under ``leader``: who leads, at which level, which processes serve; and the
+transactions that change it.
+
+One prefix, so that one read shows a consistent picture and one watch tells of every change.
+
+- ``leader``: name and lease of the leader.  At level 0 it is attached to that lease, as the
+  versions before levels have it, and vanishes with it.  From level 1 on it never vanishes: such a
+  version stands for the seat only where the key does not exist, so it can't be elected any more.
+- ``leader/held``: from level 1 on, attached to the leader's lease: the seat is taken as long as it
+  exists.
+- ``leader/level``: the level in force (``LevelRecord``); absent: 0.
+- ``leader/member/<name>``: the present process of each controller.
+
+A term's token is the revision of the transaction that won it.  Every write of a leader depends on
+the version of ``leader``, its *fence*.  Each move of the level writes ``leader`` anew, so nothing
+that was sent before the move can be applied after it; the token stays, and is named in the record.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+import msgspec
+
+from micadeal.rollout.levels import Build, Level, sensible
+from micadeal.rollout.membership import Process
+from micadeal.wire.codec import BadMessage, convert
+from micadeal.wire.state import (
+    Condition,
+    Drop,
+    HeldRecord,
+    Item,
+    LeaderRecord,
+    LevelRecord,
+    MemberRecord,
+    Put,
+)
+
+LEADER = "leader"
+HELD = "leader/held"
+LEVEL = "leader/level"
+MEMBER = "leader/member/"
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    record: MemberRecord
+    version: int
+
+    @property
+    def process(self) -> Process:
+        build = Build(self.record.build, self.record.lowest, self.record.highest)
+        return Process(self.record.process, build)
+
+
+@dataclass(frozen=True, slots=True)
+class Seat:
+    revision: int
+    leader: LeaderRecord | None = None
+    #: The version of ``leader``; 0: there is none.
+    fence: int = 0
+    held: HeldRecord | None = None
+    level: LevelRecord = field(default_factory=LevelRecord)
+    level_version: int = 0
+    members: Mapping[str, Member] = field(default_factory=dict)
+    #: Versions of all keys, readable or not.
+    versions: Mapping[str, int] = field(default_factory=dict)
+    #: Keys whose values can't be read, or make no sense.
+    damaged: tuple[str, ...] = ()
+
+    @property
+    def token(self) -> int:
+        """Of the present or last term."""
+        return 0 if self.leader is None else self.leader.term or self.fence
+
+    @property
+    def taken(self) -> bool:
+        return self.held is not None if self.fenced else self.leader is not None
+
+    @property
+    def fenced(self) -> bool:
+        return self.level.level >= Level.FENCED
+
+    @property
+    def lease(self) -> int:
+        """Of whoever holds the seat; 0: nobody does."""
+        if self.held is not None:
+            return self.held.lease
+        return 0 if self.leader is None else self.leader.lease
+
+
+def read(items: Iterable[Item], revision: int) -> Seat:
+    """A damaged record is named, not guessed at: nobody leads by a level that can't be read."""
+    versions: dict[str, int] = {}
+    members: dict[str, Member] = {}
+    damaged: list[str] = []
+    leader: LeaderRecord | None = None
+    held: HeldRecord | None = None
+    level = LevelRecord()
+    for item in items:
+        versions[item.key] = item.version
+        try:
+            if item.key == LEADER:
+                leader = convert(LeaderRecord, item.value)
+            elif item.key == HELD:
+                held = convert(HeldRecord, item.value)
+            elif item.key == LEVEL:
+                found = convert(LevelRecord, item.value)
+                if not sensible(found):
+                    raise BadMessage("no such level")
+                level = found
+            elif item.key.startswith(MEMBER):
+                record = convert(MemberRecord, item.value)
+                members[item.key.removeprefix(MEMBER)] = Member(record, item.version)
+        except BadMessage:
+            damaged.append(item.key)
+    return Seat(
+        revision,
+        leader,
+        versions.get(LEADER, 0),
+        held,
+        level,
+        versions.get(LEVEL, 0),
+        members,
+        versions,
+        tuple(damaged),
+    )
+
+
+def token_of(item: Item) -> int:
+    """The token of the term that a ``leader`` record speaks of.  Raises ``BadMessage``."""
+    return convert(LeaderRecord, item.value).term or item.version
+
+
+def registered(seat: Seat, name: str, process: Process) -> bool:
+    member = seat.members.get(name)
+    return member is not None and member.record.process == process.id
+
+
+def registration(
+    seat: Seat, name: str, process: Process, started_at: float
+) -> tuple[list[Condition], list[Put | Drop]]:
+    """Writes the record of our process; depends on the one before, so that a transaction of an
+    earlier process that is applied late can't undo it."""
+    key = MEMBER + name
+    build = process.build
+    record = MemberRecord(process.id, build.name, build.lowest, build.highest, started_at)
+    return [Condition(key, seat.versions.get(key, 0))], [Put(key, record)]
+
+
+def refusal(seat: Seat, name: str, process: Process) -> str | None:
+    """Why this process must not stand for the seat, nor serve users; None: it may."""
+    for key in (LEVEL, LEADER):
+        if key in seat.damaged:
+            return f"the record {key} can't be read: nobody leads by it until it is mended"
+    refused = process.build.refusal(seat.level)
+    if refused is None and not registered(seat, name, process):
+        return f"another process is recorded for {name}"
+    return refused
+
+
+def standing(
+    seat: Seat, name: str, process: Process, lease: int
+) -> tuple[list[Condition], list[Put | Drop]]:
+    """Takes an empty seat.  Depends on the level and on our own member record, so that neither a
+    raise nor a later process of ours can come in between."""
+    member = seat.members[name]
+    conditions = [
+        Condition(LEADER, seat.fence),
+        Condition(LEVEL, seat.level_version),
+        Condition(MEMBER + name, member.version),
+    ]
+    if not seat.fenced:
+        return conditions, [Put(LEADER, LeaderRecord(name, lease), lease)]
+    conditions.append(Condition(HELD, 0))
+    return conditions, [
+        Put(LEADER, LeaderRecord(name, lease)),
+        Put(HELD, HeldRecord(name, lease), lease),
+    ]
+
+
+def moving(
+    seat: Seat, to: LevelRecord, name: str, lease: int, token: int, depends_on: Sequence[str]
+) -> tuple[list[Condition], list[Put | Drop]]:
+    """Moves the level, as the leader of the term with this token.
+
+    ``depends_on``: names of controllers whose member records must be as they were read.
+    """
+    conditions = [Condition(LEADER, seat.fence), Condition(LEVEL, seat.level_version)]
+    conditions += [Condition(MEMBER + who, seat.members[who].version) for who in depends_on]
+    leader = LeaderRecord(name, lease, token)
+    changes: list[Put | Drop] = [Put(LEVEL, to)]
+    if to.level >= Level.FENCED:
+        changes += [Put(LEADER, leader), Put(HELD, HeldRecord(name, lease), lease)]
+    else:
+        changes.append(Put(LEADER, leader, lease))
+        if HELD in seat.versions:
+            changes.append(Drop(HELD))
+    return conditions, changes
+
+
+def same_level(one: LevelRecord, other: LevelRecord) -> bool:
+    """Whether both say the same of what is in force; how it came to be may differ."""
+    parts = ("level", "writes", "oldest")
+    return all(getattr(one, part) == getattr(other, part) for part in parts)
+
+
+def value(record: msgspec.Struct) -> object:
+    """A record as the state service gives it back."""
+    return msgspec.to_builtins(record)
--- a/micadeal/wire/mesh.py
+++ b/micadeal/wire/mesh.py
@@ -9,6 +9,18 @@
 from micadeal.wire.workers import Report
 
 
+class Process(msgspec.Struct):
+    """A node's present process and the levels that it knows (rollout/)."""
+
+    id: str
+    build: str
+    lowest: int
+    highest: int
+    # How old it is, and the level that it writes and acts by.
+    age_ms: float
+    level: int
+
+
 class Ping(msgspec.Struct):
     controller: str
     wants_counts: bool = False
@@ -19,6 +31,8 @@
     wants_consent: int = 0
     # Asks for the list of cancellations.
     wants_told: bool = False
+    # None: it is of a version that knows of no levels.
+    process: Process | None = None
 
 
 class Word(msgspec.Struct):
@@ -62,6 +76,8 @@
     cascade_age_ms: float | None = None
     # None: it is of a version in which nobody stands in for a leader, or that is switched off.
     word: Word | None = None
+    # None: it is of a version that knows of no levels.
+    process: Process | None = None
 
 
 class Notice(msgspec.Struct):
@@ -132,6 +148,28 @@
     gpus: float
 
 
+class MemberLine(msgspec.Struct):
+    """One controller as the leader sees it."""
+
+    name: str
+    presence: str
+    build: str
+    lowest: int
+    highest: int
+
+
+class LevelLine(msgspec.Struct):
+    """The level in force, and what the next step waits for, in plain words."""
+
+    level: int
+    writes: int
+    oldest: int
+    since_s: float
+    by: str
+    members: list[MemberLine]
+    waits: list[str]
+
+
 class Overview(msgspec.Struct):
     leader: str
     token: int
@@ -144,3 +182,5 @@
     notes: list[str]
     # ``stuck`` names only the longest stuck of so many.
     stuck_in_all: int = 0
+    # None: the leader is of a version that knows of no levels.
+    level: LevelLine | None = None
--- a/micadeal/wire/state.py
+++ b/micadeal/wire/state.py
@@ -79,11 +79,47 @@
 # -- records of ours ---------------------------------------------------------------------------
 
 
-class LeaderRecord(msgspec.Struct):
-    """Under ``leader``, attached to the state lease it names."""
+class LeaderRecord(msgspec.Struct, omit_defaults=True):
+    """Under ``leader``: who leads, or from level 1 on did so last (rollout/seat.py)."""
 
     controller: str
     lease: int
+    # The term's token where it is not the record's version: the level has moved since.
+    term: int = 0
+
+
+class HeldRecord(msgspec.Struct):
+    """Under ``leader/held``, attached to the lease it names: the seat is taken."""
+
+    controller: str
+    lease: int
+
+
+class LevelRecord(msgspec.Struct, frozen=True):
+    """Under ``leader/level``: what the controllers write and do together (rollout/levels.py)."""
+
+    # Whoever leads or serves users must know this level.
+    level: int = 0
+    # What is written and done; below ``level`` while the level is lowered.
+    writes: int = 0
+    # The oldest layout of which records may still be stored.
+    oldest: int = 0
+    # How it came to be: when (time of day), by whom, in which term, and the process of every other
+    # controller that had shown the level by then.
+    since: float = 0.0
+    by: str = ""
+    term: int = 0
+    members: dict[str, str] = {}
+
+
+class MemberRecord(msgspec.Struct):
+    """Under ``leader/member/<name>``: the controller's present process, written once by it."""
+
+    process: str
+    build: str
+    lowest: int
+    highest: int
+    started_at: float
 
 
 class JobRecord(msgspec.Struct):
@@ -223,3 +259,6 @@
     script: str
     applied_at: float = 0.0
     values: dict[str, Any] = {}
+    # The highest level that the operators allow (docs/rollout.md); not among the values, of which
+    # versions before levels refuse what they do not know.
+    highest_level: int | None = None
--- a/tests/fakes/earlier.py
+++ b/tests/fakes/earlier.py
@@ -1,7 +1,7 @@
-"""What the version in production before pipelines understands: a small model of its reader.
+"""Earlier versions, as far as they matter to later ones: what they read, and how they stand.
 
-It keeps nothing of the fields below, wherever it reads or writes them, and does not look at the
-keys.  A controller behind this network is as good as the earlier one as far as data goes.
+Each keeps nothing of the fields below, wherever it reads or writes them, and does not look at the
+keys.  A controller behind such a network is as good as the earlier one as far as data goes.
 """
 
 from __future__ import annotations
@@ -9,44 +9,70 @@
 from datetime import timedelta
 from typing import Any
 
+from micadeal.clock import seconds, steady
+from micadeal.controller.levels import Levels
+from micadeal.controller.node import Node
 from micadeal.http.message import Answer, Request
+from micadeal.leadership.election import Deposed, Elected, LeaderSeen, Listener, Renewed
+from micadeal.leadership.term import Term
+from micadeal.rollout.seat import Seat
+from micadeal.state.service import Conflict, LeaseGone, StateError, StateService, Urgency, lease_end
+from micadeal.waiting import sleep
 from micadeal.wire.codec import decode, encode
+from micadeal.wire.state import Condition, Put
 from tests.fakes.network import FakeClient, FakeServer, Handler, HostNetwork
 
 #: Fields that came with pipelines, and with controllers that stand in for a leader.
 UNKNOWN_FIELDS = {"waits_on", "cascade_age_ms", "leading_token", "wants_consent", "wants_told"}
 UNKNOWN_FIELDS |= {"word"}
+#: Fields that came with levels.
+LEVEL_FIELDS = {"process", "level", "term", "highest_level"}
 #: Where the earlier version neither reads nor writes.
 UNKNOWN_KEYS = ("finished/", "part/", "leaving/")
 
 
-def forget(value: Any) -> Any:
+def forget(value: Any, fields: set[str] = UNKNOWN_FIELDS | LEVEL_FIELDS) -> Any:
     """A message or record after the earlier version has read it and written it again."""
     if isinstance(value, dict):
-        return {k: forget(v) for k, v in value.items() if k not in UNKNOWN_FIELDS}
+        return {k: forget(v, fields) for k, v in value.items() if k not in fields}
     if isinstance(value, list):
-        return [forget(entry) for entry in value]
+        return [forget(entry, fields) for entry in value]
     return value
 
 
-def _forget_bytes(body: bytes) -> bytes:
-    return encode(forget(decode(Any, body))) if body else body
+class EarlierNetwork(HostNetwork):
+    """As 52e15ab reads it."""
 
+    fields = UNKNOWN_FIELDS | LEVEL_FIELDS
+    keys: tuple[str, ...] = UNKNOWN_KEYS
 
-class EarlierNetwork(HostNetwork):
     def client(self, address: str, keep: int) -> FakeClient:
-        return _Client(self._network, self._host, self._power, address)
+        client = _Client(self._network, self._host, self._power, address)
+        client.reader = self
+        return client
+
+    def forget(self, body: bytes) -> bytes:
+        return encode(forget(decode(Any, body), self.fields)) if body else body
 
     def server(self, address: tuple[str, int], handler: Handler, most: int) -> FakeServer:
         async def read_as_before(request: Request) -> Answer:
-            body = _forget_bytes(request.body)
+            body = self.forget(request.body)
             found = await handler(Request(request.method, request.path, request.query, body))
-            return Answer(found.status, _forget_bytes(found.body), found.retry_after)
+            return Answer(found.status, self.forget(found.body), found.retry_after)
 
         return super().server(address, read_as_before, most)
 
 
+class UnlevelledNetwork(EarlierNetwork):
+    """As the version right before levels reads it."""
+
+    fields = LEVEL_FIELDS
+    keys = ()
+
+
 class _Client(FakeClient):
+    reader: EarlierNetwork
+
     async def request(
         self,
         method: str,
@@ -57,8 +83,92 @@
         repeatable: bool = True,
     ) -> tuple[int, bytes]:
         status, reply = await super().request(
-            method, target, _forget_bytes(body), timeout=timeout, repeatable=repeatable
+            method, target, self.reader.forget(body), timeout=timeout, repeatable=repeatable
         )
-        if any(f"starts={key}" in target for key in UNKNOWN_KEYS):
+        if any(f"starts={key}" in target for key in self.reader.keys):
             return status, encode({"items": [], "has_next": False, "ledger": 0})
-        return status, _forget_bytes(reply)
+        return status, self.reader.forget(reply)
+
+
+class _NoLevels(Levels):
+    """Of a process that knows of none: it serves whatever is in force."""
+
+    stands_in = False
+
+    def seen(self, seat: Seat) -> None:
+        pass
+
+    @property
+    def refusal(self) -> str | None:
+        return None
+
+    @property
+    def acts_at(self) -> int:
+        return int(self.stands_in)
+
+
+class EarlierElection:
+    """How the versions before levels stand: for a key that does not exist, with their lease on
+    it."""
+
+    def __init__(self, name: str, state: StateService, listener: Listener) -> None:
+        self._name, self._state, self._listener = name, state, listener
+        self._resigned = False
+
+    def resign(self, why: str = "") -> None:
+        self._resigned = True
+
+    async def run(self) -> None:
+        while True:
+            try:
+                await self._round()
+            except (StateError, LeaseGone, Conflict):
+                await sleep(seconds(0.3))
+
+    async def _round(self) -> None:
+        item = await self._state.get("leader", Urgency.LEASE)
+        if item is None:
+            await self._stand()
+        elif item.value["controller"] == self._name:
+            await self._state.end_lease(item.value["lease"])
+        else:
+            await self._listener(LeaderSeen(item.value["controller"], item.version))
+            await sleep(seconds(0.3))
+
+    async def _stand(self) -> None:
+        sent, ttl = steady(), seconds(3)
+        lease = await self._state.new_lease(ttl)
+        record = {"controller": self._name, "lease": lease}
+        token = await self._state.commit(
+            [Condition("leader", 0)], [Put("leader", record, lease)], Urgency.LEASE
+        )
+        self._resigned = False
+        term = Term(token, lease, lease_end(sent, ttl), sent, token)
+        await self._listener(Elected(term, Seat(token)))
+        await self._keep(token, lease)
+        await self._listener(Deposed(token, "its time is over"))
+
+    async def _keep(self, token: int, lease: int) -> None:
+        while not self._resigned:
+            await sleep(seconds(0.7))
+            sent = steady()
+            try:
+                await self._state.renew(lease, timeout=seconds(0.9))
+            except LeaseGone:
+                return
+            except StateError:
+                continue
+            await self._listener(Renewed(token, lease_end(sent, seconds(3))))
+        await self._state.end_lease(lease)
+
+
+class EarlierNode(Node):
+    """A process of a version before levels.  ``stands_in``: of the last one before them."""
+
+    def __init__(self, *args: Any, stands_in: bool = False, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        levels = _NoLevels(self._platform.name, [p.name for p in self._platform.peers], steady())
+        levels.stands_in = stands_in
+        self._levels = self._mesh._levels = levels
+        election: Any = EarlierElection(self._platform.name, self._state, self._on_election)
+        self._election = election
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -14,11 +14,12 @@
 from micadeal.http.message import HttpError, Request
 from micadeal.operator.options import Options
 from micadeal.operator.platform import parse
+from micadeal.rollout.levels import Build
 from micadeal.wire.codec import decode, encode
 from tests.fakes import cloud as cloud_fake
 from tests.fakes import state as state_fake
 from tests.fakes.cloud import FakeCloud, Rented
-from tests.fakes.earlier import EarlierNetwork
+from tests.fakes.earlier import EarlierNetwork, EarlierNode, UnlevelledNetwork
 from tests.fakes.kernel import run_stepped
 from tests.fakes.network import FakeNetwork, HostNetwork, HostPower
 from tests.fakes.state import FakeState
@@ -148,14 +149,27 @@
             await self.cloud.step()
             self._check()
 
-    async def start(self, number: int, earlier: bool = False) -> None:
-        """``earlier``: it knows no more than the version in production before pipelines."""
+    async def start(
+        self,
+        number: int,
+        earlier: bool = False,
+        unlevelled: bool = False,
+        build: Build | None = None,
+    ) -> None:
+        """``earlier``: it knows no more than the version in production before pipelines;
+        ``unlevelled``: than the last one before levels; ``build``: which levels it knows."""
         name = f"c{number}"
         power = self._powers[name] = HostPower()
         platform = parse(settings(number, self.teams, self.coming))
-        network = EarlierNetwork if earlier else HostNetwork
-        options = Options(stand_in=not earlier)
-        node = Node(platform, network(self.network, name, power), options)
+        node: Node
+        if earlier or unlevelled:
+            kind = EarlierNetwork if earlier else UnlevelledNetwork
+            network = kind(self.network, name, power)
+            options = Options(stand_in=unlevelled)
+            node = EarlierNode(platform, network, options, stands_in=unlevelled)
+        else:
+            host = HostNetwork(self.network, name, power)
+            node = Node(platform, host, Options(stand_in=True), build)
         self.nodes[number] = node
         await curio.spawn(node.run, daemon=True)
 
@@ -175,9 +189,14 @@
             worker.end()
 
     def leader(self) -> int | None:
-        entry = self.state.keys.get("leader")
+        entry = self.state.keys.get("leader/held" if self.level() else "leader")
         return None if entry is None else int(entry[0]["controller"][1:])
 
+    def level(self) -> int:
+        """In force, as recorded."""
+        entry = self.state.keys.get("leader/level")
+        return 0 if entry is None else int(entry[0]["level"])
+
     # -- users -----------------------------------------------------------------------------
 
     def job(self, shape: str = "array", legs: int = 1, run_s: float = 20.0, **fields: Any) -> str:
