--- /dev/null
+++ b/bench/model_rollout.py
@@ -0,0 +1,453 @@
+"""Explores every course of a small world in which the level of the stored state moves.
+
+    python3 -m bench.model_rollout [--ends 2] [--leases 2] [--writes 2] [--turns 1]
+    python3 -m bench.model_rollout --guards
+
+Three controllers and the state service.  The decisions and transactions are the real ones
+(``rollout/``).  Between two steps anything may happen or not: a controller looks, registers, stands,
+as leader writes a record, asks the others who they are, moves the level; every transaction is under
+way for as long as it likes, is applied late or never; a process ends, and comes back of any version
+(one that knows of no levels, or levels to 1, or to 2); a lease runs out; the operators allow less or
+more.  What is bounded is how often processes end, leases run out, records are written and the operators
+turn.
+
+Broken is a course in which
+- somebody leads, or serves users, by a level that it does not know;
+- a record is stored that whoever reads by the recorded levels would not look for;
+- a token is not larger than all before it.
+
+A guard that is switched off (``GUARDS``) must break one of these.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from collections.abc import Callable, Iterator
+from functools import cache
+from typing import Any, NamedTuple
+from unittest import mock
+
+import click
+import msgspec
+
+from micadeal.clock import seconds
+from micadeal.rollout import seat as seats
+from micadeal.rollout import steps
+from micadeal.rollout.levels import Build
+from micadeal.rollout.membership import Process, Sight
+from micadeal.rollout.seat import LEADER, Seat
+from micadeal.wire.state import Condition, Drop, Item, Put
+
+NOW = seconds(1000)
+#: What a process may be: the highest level that it knows; none for a version before levels.
+KINDS = (None, 1, 2)
+DATA = "placed/"
+
+
+class Node(NamedTuple):
+    kind: int | None
+    process: int
+    #: Revision of the store when it last looked, and what it saw; None: it did not yet.
+    seen: tuple[Any, ...] | None = None
+    #: It saw its own registration in force.
+    registered: bool = False
+    #: The token and fence of the term that it leads by; 0: none.
+    token: int = 0
+    fence: int = 0
+    #: The process of each other controller that it heard as leader; -1: of no levels; None: nothing.
+    heard: tuple[int | None, ...] = (None, None, None)
+
+
+class Flight(NamedTuple):
+    """A transaction under way."""
+
+    by: int
+    process: int
+    conditions: tuple[tuple[str, int], ...]
+    #: (key, value as bytes, None to drop; lease)
+    changes: tuple[tuple[str, bytes | None, int | None], ...]
+    wins: bool
+
+
+class State(NamedTuple):
+    revision: int
+    #: (key, value, version, lease), in order.
+    store: tuple[tuple[str, bytes, int, int | None], ...]
+    nodes: tuple[Node | None, ...]
+    flights: frozenset[Flight]
+    ceiling: int | None
+    last_token: int
+    leases: int
+    ends: int
+    expiries: int
+    writes: int
+    turns: int
+
+
+@cache
+def _read(entries: tuple[Any, ...]) -> Seat:
+    return seats.read([Item(k, msgspec.json.decode(v), n) for k, v, n in entries], 0)
+
+
+def _seat(store: tuple[Any, ...], _: int) -> Seat:
+    return _read(tuple(entry[:3] for entry in store if entry[0].startswith(LEADER)))
+
+
+@cache
+def _process(node: Node) -> Process:
+    assert node.kind is not None
+    return Process(str(node.process), Build(f"to {node.kind}", 0, node.kind))
+
+
+def _flight(
+    i: int, node: Node, conditions: list[Condition], changes: list[Put | Drop], wins: bool = False
+) -> Flight:
+    return Flight(
+        i,
+        node.process,
+        tuple((c.key, c.version) for c in conditions),
+        tuple(
+            (c.key, msgspec.json.encode(c.value), c.lease)
+            if isinstance(c, Put)
+            else (c.key, None, None)
+            for c in changes
+        ),
+        wins,
+    )
+
+
+def _with(state: State, i: int, node: Node | None, **more: Any) -> State:
+    nodes = list(state.nodes)
+    nodes[i] = node
+    return state._replace(nodes=tuple(nodes), **more)
+
+
+def _send(state: State, flight: Flight, **more: Any) -> State | None:
+    if flight in state.flights or sum(f.by == flight.by for f in state.flights) >= 2:
+        return None
+    return state._replace(flights=state.flights | {flight}, **more)
+
+
+def _apply(state: State, flight: Flight) -> State:
+    state = state._replace(flights=state.flights - {flight})
+    versions = {key: version for key, _, version, _ in state.store}
+    if any(versions.get(key, 0) != version for key, version in flight.conditions):
+        return state
+    live = {lease for *_, lease in state.store if lease is not None}
+    if not flight.wins and any(lease not in live for *_, lease in flight.changes if lease):
+        # The lease is gone: 400.
+        return state
+    revision = state.revision + 1
+    store = {entry[0]: entry for entry in state.store}
+    for key, value, lease in flight.changes:
+        if value is None:
+            store.pop(key, None)
+        else:
+            store[key] = (key, value, revision, lease)
+    state = state._replace(revision=revision, store=tuple(sorted(store.values())))
+    node = state.nodes[flight.by]
+    if flight.wins:
+        if revision <= state.last_token:
+            raise Broken("a token is used again")
+        state = state._replace(last_token=revision)
+        if node is not None and node.process == flight.process:
+            node = node._replace(token=revision, fence=revision, heard=(None,) * 3)
+            state = _with(state, flight.by, node)
+    return state
+
+
+class Broken(Exception):
+    pass
+
+
+def _check(state: State) -> None:
+    seat = _seat(state.store, state.revision)
+    holder = None
+    for _key, _value, _version, lease in state.store:
+        holder = lease if lease is not None else holder
+    for node in state.nodes:
+        if node is None:
+            continue
+        leads = node.token and node.token == seat.token and holder is not None
+        if leads and (node.kind or 0) < seat.level.level:
+            raise Broken(f"one of kind {node.kind} leads by level {seat.level.level}")
+        if node.kind is not None and _serves(node) and node.kind < seat.level.level:
+            raise Broken(f"one of kind {node.kind} serves users by level {seat.level.level}")
+    for key, *_ in state.store:
+        if key.startswith(DATA):
+            layout = int(key.removeprefix(DATA))
+            if not seat.level.oldest <= layout <= seat.level.level:
+                raise Broken(f"a record of level {layout} under {seat.level}")
+
+
+def _serves(node: Node) -> bool:
+    if node.seen is None or not node.registered:
+        return False
+    return seats.refusal(_seat(*node.seen), f"c{node.process // 10}", _process(node)) is None
+
+
+def _next(state: State) -> Iterator[State | None]:
+    for flight in state.flights:
+        yield _apply(state, flight)
+        yield state._replace(flights=state.flights - {flight})
+    if state.expiries:
+        yield _expire(state)
+    if state.turns:
+        yield state._replace(turns=state.turns - 1, ceiling=1 if state.ceiling is None else None)
+        yield state._replace(turns=state.turns - 1, ceiling=0)
+    for i, node in enumerate(state.nodes):
+        if node is None:
+            continue
+        if state.ends:
+            for kind in KINDS:
+                yield _with(state, i, Node(kind, node.process + 1), ends=state.ends - 1)
+        if node.kind is None:
+            yield from _old(state, i, node)
+        elif node.token:
+            yield from _lead(state, i, node)
+        else:
+            yield from _follow(state, i, node)
+
+
+def _expire(state: State) -> State | None:
+    """The lease of whoever holds the seat runs out; by its own clock it has stood down before."""
+    leased = {lease for *_, lease in state.store if lease is not None}
+    if not leased:
+        return None
+    store = tuple(entry for entry in state.store if entry[3] is None)
+    nodes = tuple(n and n._replace(token=0, fence=0) for n in state.nodes)
+    return state._replace(
+        store=store, nodes=nodes, revision=state.revision + 1, expiries=state.expiries - 1
+    )
+
+
+def _old(state: State, i: int, node: Node) -> Iterator[State | None]:
+    if node.token:
+        yield _write(state, i, node, 0)
+    elif LEADER not in {key for key, *_ in state.store}:
+        lease = state.leases + 1
+        record = {"controller": f"c{i}", "lease": lease}
+        yield _send(
+            state,
+            _flight(i, node, [Condition(LEADER, 0)], [Put(LEADER, record, lease)], wins=True),
+            leases=lease,
+        )
+
+
+def _follow(state: State, i: int, node: Node) -> Iterator[State | None]:
+    name, now = f"c{i}", (state.store, state.revision)
+    seat = _seat(*now)
+    mine = seats.registered(seat, name, _process(node))
+    if node.seen is None or _seat(*node.seen) != seat or mine != node.registered:
+        yield _with(state, i, node._replace(seen=(_kept(state), state.revision), registered=mine))
+    if node.seen is None:
+        return
+    seat = _seat(*node.seen)
+    if not node.registered:
+        yield _send(state, _flight(i, node, *seats.registration(seat, name, _process(node), 0.0)))
+        return
+    if not seat.taken and seats.refusal(seat, name, _process(node)) is None:
+        lease = state.leases + 1
+        sent = seats.standing(seat, name, _process(node), lease)
+        yield _send(state, _flight(i, node, *sent, wins=True), leases=lease)
+
+
+def _kept(state: State) -> tuple[Any, ...]:
+    return tuple(entry for entry in state.store if entry[0].startswith(LEADER))
+
+
+def _lead(state: State, i: int, node: Node) -> Iterator[State | None]:
+    seat = _seat(state.store, state.revision)
+    if seat.token != node.token:
+        return
+    if seat.fence != node.fence:
+        # What it holds for true is older than what is recorded until it looks.
+        seen = (_kept(state), state.revision)
+        yield _with(state, i, node._replace(fence=seat.fence, seen=seen))
+        known = _seat(*node.seen) if node.seen else seat
+        yield _write(state, i, node, known.level.writes)
+        return
+    yield _write(state, i, node, seat.level.writes)
+    yield _rewrite(state, i, node, seat)
+    for j, other in enumerate(state.nodes):
+        if j != i and other is not None:
+            process = -1 if other.kind is None else other.process * 10 + other.kind
+            if node.heard[j] != process:
+                heard = (*node.heard[:j], process, *node.heard[j + 1 :])
+                yield _with(state, i, node._replace(heard=heard))
+    sights = {f"c{j}": _sight(process) for j, process in enumerate(node.heard) if j != i}
+    layouts = [int(k.removeprefix(DATA)) for k, *_ in state.store if k.startswith(DATA)]
+    stock = steps.Stock(
+        sum(layout < seat.level.writes for layout in layouts),
+        sum(layout > seat.level.writes for layout in layouts),
+    )
+    found = steps.plan(seat.level, _process(node), sights, state.ceiling, stock, NOW)
+    if found.move is None:
+        return
+    names: list[str] = []
+    if found.raises:
+        if steps.confirm(found, seat, f"c{i}", _process(node), sights):
+            return
+        names = [f"c{i}", *sights]
+    lease = seat.lease
+    sent = seats.moving(seat, found.move, f"c{i}", lease, node.token, names)
+    yield _send(state, _flight(i, node, *sent))
+
+
+def _sight(heard: int | None) -> Sight:
+    if heard is None:
+        return Sight()
+    kind = heard % 10
+    process = None if heard < 0 else Process(str(heard // 10), Build(f"to {kind}", 0, kind))
+    return Sight(process, seconds(900), NOW)
+
+
+def _write(state: State, i: int, node: Node, layout: int) -> State | None:
+    if not state.writes:
+        return None
+    change: list[Put | Drop] = [Put(f"{DATA}{layout}", 1)]
+    flight = _flight(i, node, [Condition(LEADER, node.fence)], change)
+    return _send(state, flight, writes=state.writes - 1)
+
+
+def _rewrite(state: State, i: int, node: Node, seat: Seat) -> State | None:
+    for key, _, version, _ in state.store:
+        target = f"{DATA}{seat.level.writes}"
+        if key.startswith(DATA) and key != target:
+            conditions = [Condition(LEADER, node.fence), Condition(key, version)]
+            return _send(state, _flight(i, node, conditions, [Put(target, 1), Drop(key)]))
+    return None
+
+
+def start(ends: int, leases: int, writes: int, turns: int) -> State:
+    """The first leads at level 0; the third is of a version before levels."""
+    nodes = (Node(2, 0), Node(2, 10), Node(None, 20))
+    store: list[tuple[str, bytes, int, int | None]] = []
+    for i, node in enumerate(nodes):
+        if node.kind is not None:
+            seat = seats.read([], 0)
+            _, changes = seats.registration(seat, f"c{i}", _process(node), 0.0)
+            put = changes[0]
+            assert isinstance(put, Put)
+            store.append((put.key, msgspec.json.encode(put.value), i + 1, None))
+    record = msgspec.json.encode({"controller": "c0", "lease": 1})
+    store.append((LEADER, record, 4, 1))
+    kept = tuple(sorted(store))
+    first = nodes[0]._replace(token=4, fence=4, registered=True, seen=(kept, 4))
+    second = nodes[1]._replace(registered=True, seen=(kept, 4))
+    return State(
+        4, kept, (first, second, nodes[2]), frozenset(), None, 4, 1, ends, leases, writes, turns
+    )
+
+
+def explore(first: State, most: int = 50_000_000) -> tuple[int, str | None]:
+    """How many states can be reached; what is broken in the first one that is."""
+    seen = {first}
+    front = deque([first])
+    while front:
+        state = front.popleft()
+        try:
+            for found in _next(state):
+                if found is None or found in seen:
+                    continue
+                _check(found)
+                seen.add(found)
+                front.append(found)
+        except Broken as problem:
+            return len(seen), str(problem)
+        if len(seen) >= most:
+            break
+    return len(seen), None
+
+
+def _without(condition: str) -> Callable[..., Any]:
+    real = seats.standing
+
+    def standing(*args: Any) -> Any:
+        conditions, changes = real(*args)
+        return [c for c in conditions if c.key != condition], changes
+
+    return standing
+
+
+_moving = seats.moving
+
+
+def _moving_unfenced(seat: Seat, to: Any, *args: Any) -> Any:
+    conditions, changes = _moving(seat, to, *args)
+    return conditions, [c for c in changes if c.key != LEADER or not seat.fenced or not to.level]
+
+
+def _moving_leased(seat: Seat, to: Any, name: str, lease: int, *args: Any) -> Any:
+    conditions, changes = _moving(seat, to, name, lease, *args)
+    return conditions, [
+        Put(c.key, c.value, lease) if isinstance(c, Put) and c.key == LEADER else c for c in changes
+    ]
+
+
+def _moving_alone(*args: Any) -> Any:
+    return _moving(*args[:-1], [])
+
+
+def _raise_unsettled(record: Any, own: Any, sights: Any, *args: Any) -> Any:
+    return _plan(record, own, {n: s for n, s in sights.items() if s.process}, *args)
+
+
+_plan = steps.plan
+_registered = seats.registered
+
+#: What is switched off, and by what.
+GUARDS: dict[str, tuple[str, Any]] = {
+    "a raise depends on every member record": ("micadeal.rollout.seat.moving", _moving_alone),
+    "the process heard is the one recorded": (
+        "micadeal.rollout.steps.confirm",
+        lambda *_: (),
+    ),
+    "the leader's record never vanishes": ("micadeal.rollout.seat.moving", _moving_leased),
+    "who does not know the level does not stand, nor serve": (
+        "micadeal.rollout.seat.refusal",
+        lambda *_: None,
+    ),
+    "standing depends on the level": (
+        "micadeal.rollout.seat.standing",
+        _without(seats.LEVEL),
+    ),
+    "a process is recorded before it takes part": (
+        "micadeal.rollout.seat.registered",
+        lambda *_: True,
+    ),
+    "all others have shown the level": ("micadeal.rollout.steps.plan", _raise_unsettled),
+    "records of another layout are rewritten first": (
+        "micadeal.rollout.steps.Stock",
+        lambda *_: mock.Mock(older=0, newer=0, stuck=0),
+    ),
+    "the fence moves with the level": ("micadeal.rollout.seat.moving", _moving_unfenced),
+}
+
+
+def broken_without(guard: str, first: State) -> str | None:
+    target, instead = GUARDS[guard]
+    with mock.patch(target, instead):
+        return explore(first, 300_000)[1]
+
+
+@click.command()
+@click.option("--ends", default=1, show_default=True, help="How often processes end.")
+@click.option("--leases", default=1, show_default=True, help="How often leases run out.")
+@click.option("--writes", default=1, show_default=True, help="Records written.")
+@click.option("--turns", default=0, show_default=True, help="How often operators turn.")
+@click.option("--guards", is_flag=True, help="Switch each guard off: it must break a rule.")
+def main(ends: int, leases: int, writes: int, turns: int, guards: bool) -> None:
+    began = time.monotonic()
+    first = start(ends, leases, writes, turns)
+    for guard in GUARDS if guards else ():
+        print(f"{guard}: {broken_without(guard, first) or 'NOTHING BREAKS'}", flush=True)  # noqa: T201
+    if not guards:
+        states, broken = explore(first)
+        spent = time.monotonic() - began
+        print(f"{states} states, {broken or 'nothing is broken'}, {spent:.0f} s")  # noqa: T201
+
+
+if __name__ == "__main__":
+    main()
