Seat apart from `leader`; one package for the stored layout; a checker of the levels

Change: members, level and holder are under `seat/`. `stored/` owns the names of keys and reads records once, at the door. The three loops for the cloud's list and catalog are one. `bench/model_rollout.py` explores starts, ends, raises, late transactions and earlier versions over the real decisions; eight guards, each switched off, break something.

--- a/bench/model_rollout.py
+++ b/bench/model_rollout.py
@@ -4,12 +4,12 @@
     python3 -m bench.model_rollout --guards
 
 Three controllers and the state service.  The decisions and transactions are the real ones
-(``rollout/``).  Between two steps anything may happen or not: a controller looks, registers, stands,
-as leader writes a record, asks the others who they are, moves the level; every transaction is under
-way for as long as it likes, is applied late or never; a process ends, and comes back of any version
-(one that knows of no levels, or levels to 1, or to 2); a lease runs out; the operators allow less or
-more.  What is bounded is how often processes end, leases run out, records are written and the operators
-turn.
+(``rollout/``).  Between two steps anything may happen or not: a controller looks, registers,
+stands, as leader writes a record, asks the others who they are, moves the level; every transaction
+is under way for as long as it likes, is applied late or never; a process ends, and comes back of
+any version (one that knows of no levels, or levels to 1, or to 2); a lease runs out; the operators
+allow less or more.  What is bounded is how often processes end, leases run out, records are written
+and the operators turn.
 
 Broken is a course in which
 - somebody leads, or serves users, by a level that it does not know;
@@ -23,7 +23,8 @@
 
 import time
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
+from contextlib import ExitStack
 from functools import cache
 from typing import Any, NamedTuple
 from unittest import mock
@@ -36,7 +37,8 @@
 from micadeal.rollout import steps
 from micadeal.rollout.levels import Build
 from micadeal.rollout.membership import Process, Sight
-from micadeal.rollout.seat import LEADER, Seat
+from micadeal.rollout.seat import Seat
+from micadeal.stored.keys import HELD, LEADER, LEVEL, SEAT
 from micadeal.wire.state import Condition, Drop, Item, Put
 
 NOW = seconds(1000)
@@ -55,7 +57,8 @@
     #: The token and fence of the term that it leads by; 0: none.
     token: int = 0
     fence: int = 0
-    #: The process of each other controller that it heard as leader; -1: of no levels; None: nothing.
+    #: The process of each other controller that it heard as leader; -1: of no levels; None:
+    #: nothing.
     heard: tuple[int | None, ...] = (None, None, None)
 
 
@@ -91,7 +94,7 @@
 
 
 def _seat(store: tuple[Any, ...], _: int) -> Seat:
-    return _read(tuple(entry[:3] for entry in store if entry[0].startswith(LEADER)))
+    return _read(tuple(entry[:3] for entry in store if entry[0].startswith((LEADER, SEAT))))
 
 
 @cache
@@ -254,7 +257,7 @@
 
 
 def _kept(state: State) -> tuple[Any, ...]:
-    return tuple(entry for entry in state.store if entry[0].startswith(LEADER))
+    return tuple(entry for entry in state.store if entry[0].startswith((LEADER, SEAT)))
 
 
 def _lead(state: State, i: int, node: Node) -> Iterator[State | None]:
@@ -289,7 +292,7 @@
     if found.raises:
         if steps.confirm(found, seat, f"c{i}", _process(node), sights):
             return
-        names = [f"c{i}", *sights]
+        names = [name for name in (f"c{i}", *sights) if name in seat.members]
     lease = seat.lease
     sent = seats.moving(seat, found.move, f"c{i}", lease, node.token, names)
     yield _send(state, _flight(i, node, *sent))
@@ -320,25 +323,33 @@
     return None
 
 
-def start(ends: int, leases: int, writes: int, turns: int) -> State:
-    """The first leads at level 0; the third is of a version before levels."""
-    nodes = (Node(2, 0), Node(2, 10), Node(None, 20))
+def start(
+    ends: int = 1,
+    leases: int = 1,
+    writes: int = 1,
+    turns: int = 0,
+    third: int | None = None,
+    level: int = 0,
+) -> State:
+    """The first leads at ``level``; the third is of the version ``third``."""
+    nodes = (Node(2, 0), Node(2, 10), Node(third, 20))
     store: list[tuple[str, bytes, int, int | None]] = []
     for i, node in enumerate(nodes):
         if node.kind is not None:
-            seat = seats.read([], 0)
-            _, changes = seats.registration(seat, f"c{i}", _process(node), 0.0)
+            _, changes = seats.registration(seats.read([], 0), f"c{i}", _process(node), 0.0)
             put = changes[0]
             assert isinstance(put, Put)
             store.append((put.key, msgspec.json.encode(put.value), i + 1, None))
     record = msgspec.json.encode({"controller": "c0", "lease": 1})
-    store.append((LEADER, record, 4, 1))
+    store.append((LEADER, record, 4, None if level else 1))
+    if level:
+        value = {"level": level, "writes": level, "oldest": level}
+        store.append((HELD, record, 4, 1))
+        store.append((LEVEL, msgspec.json.encode(value), 4, None))
     kept = tuple(sorted(store))
-    first = nodes[0]._replace(token=4, fence=4, registered=True, seen=(kept, 4))
-    second = nodes[1]._replace(registered=True, seen=(kept, 4))
-    return State(
-        4, kept, (first, second, nodes[2]), frozenset(), None, 4, 1, ends, leases, writes, turns
-    )
+    served = [n if n.kind is None else n._replace(registered=True, seen=(kept, 4)) for n in nodes]
+    served[0] = served[0]._replace(token=4, fence=4)
+    return State(4, kept, tuple(served), frozenset(), None, 4, 1, ends, leases, writes, turns)
 
 
 def explore(first: State, most: int = 50_000_000) -> tuple[int, str | None]:
@@ -361,17 +372,7 @@
     return len(seen), None
 
 
-def _without(condition: str) -> Callable[..., Any]:
-    real = seats.standing
-
-    def standing(*args: Any) -> Any:
-        conditions, changes = real(*args)
-        return [c for c in conditions if c.key != condition], changes
-
-    return standing
-
-
-_moving = seats.moving
+_moving: Any = seats.moving
 
 
 def _moving_unfenced(seat: Seat, to: Any, *args: Any) -> Any:
@@ -394,42 +395,58 @@
     return _plan(record, own, {n: s for n, s in sights.items() if s.process}, *args)
 
 
-_plan = steps.plan
-_registered = seats.registered
+_plan: Any = steps.plan
+_NOTHING = steps.Stock()
 
-#: What is switched off, and by what.
-GUARDS: dict[str, tuple[str, Any]] = {
-    "a raise depends on every member record": ("micadeal.rollout.seat.moving", _moving_alone),
-    "the process heard is the one recorded": (
-        "micadeal.rollout.steps.confirm",
-        lambda *_: (),
+#: What is switched off, by what, and in which world it then breaks something.
+Guard = tuple[dict[str, Any], dict[str, int]]
+GUARDS: dict[str, Guard] = {
+    "a raise depends on every member record": (
+        {"micadeal.rollout.seat.moving": _moving_alone},
+        {"ends": 1, "third": 2},
+    ),
+    "the process that was heard is the one recorded": (
+        {"micadeal.rollout.steps.confirm": lambda *_: ()},
+        {"ends": 1, "third": 2},
     ),
-    "the leader's record never vanishes": ("micadeal.rollout.seat.moving", _moving_leased),
-    "who does not know the level does not stand, nor serve": (
-        "micadeal.rollout.seat.refusal",
-        lambda *_: None,
+    "all others have shown the level, and are recorded with it": (
+        {
+            "micadeal.rollout.steps.plan": _raise_unsettled,
+            "micadeal.rollout.steps.confirm": lambda *_: (),
+        },
+        {"third": 1},
     ),
-    "standing depends on the level": (
-        "micadeal.rollout.seat.standing",
-        _without(seats.LEVEL),
+    "the leader's record never vanishes": (
+        {"micadeal.rollout.seat.moving": _moving_leased},
+        {"ends": 1, "leases": 1, "third": 2},
     ),
-    "a process is recorded before it takes part": (
-        "micadeal.rollout.seat.registered",
-        lambda *_: True,
+    "who does not know the level neither stands nor serves": (
+        {"micadeal.rollout.seat.refusal": lambda *_: None},
+        {"ends": 1, "third": 2},
+    ),
+    "a process is recorded before it serves": (
+        {"micadeal.rollout.seat.registered": lambda *_: True},
+        {"ends": 1, "third": 2},
     ),
-    "all others have shown the level": ("micadeal.rollout.steps.plan", _raise_unsettled),
     "records of another layout are rewritten first": (
-        "micadeal.rollout.steps.Stock",
-        lambda *_: mock.Mock(older=0, newer=0, stuck=0),
+        {"micadeal.rollout.steps.Stock": lambda *_: _NOTHING},
+        {"writes": 1, "third": 2},
+    ),
+    "the fence moves with the level": (
+        {"micadeal.rollout.seat.moving": _moving_unfenced},
+        {"writes": 1, "third": 2, "level": 1},
     ),
-    "the fence moves with the level": ("micadeal.rollout.seat.moving", _moving_unfenced),
 }
 
 
-def broken_without(guard: str, first: State) -> str | None:
-    target, instead = GUARDS[guard]
-    with mock.patch(target, instead):
-        return explore(first, 300_000)[1]
+def broken_without(guard: str) -> str | None:
+    """What breaks without it; ``None``: nothing does."""
+    patches, world = GUARDS[guard]
+    first = start(**{"ends": 0, "leases": 0, "writes": 0, **world})
+    with ExitStack() as stack:
+        for target, instead in patches.items():
+            stack.enter_context(mock.patch(target, instead))
+        return explore(first, 500_000)[1]
 
 
 @click.command()
@@ -442,7 +459,7 @@
     began = time.monotonic()
     first = start(ends, leases, writes, turns)
     for guard in GUARDS if guards else ():
-        print(f"{guard}: {broken_without(guard, first) or 'NOTHING BREAKS'}", flush=True)  # noqa: T201
+        print(f"{guard}: {broken_without(guard) or 'NOTHING BREAKS'}", flush=True)  # noqa: T201
     if not guards:
         states, broken = explore(first)
         spent = time.monotonic() - began
--- a/micadeal/controller/desk.py
+++ b/micadeal/controller/desk.py
@@ -17,7 +17,6 @@
 import curio
 
 from micadeal.clock import seconds, steady, wall
-from micadeal.controller.stored import read_whole, split, waits_for_others
 from micadeal.fleet.offers import Market
 from micadeal.http.message import Answer, answer, error
 from micadeal.jobs.validate import (
@@ -37,6 +36,8 @@
     Unavailable,
     Urgency,
 )
+from micadeal.stored.descriptions import read_whole, split, waits_for_others
+from micadeal.stored.keys import ENDS, JOBS
 from micadeal.waiting import within
 from micadeal.wire.cloud import MachineType
 from micadeal.wire.codec import BadMessage, convert
@@ -153,7 +154,7 @@
             for _ in range(3):
                 if (known := self._final.get(job_id)) is not None:
                     return answer(200, known)
-                item = await self._state.get(f"job/{job_id}")
+                item = await self._state.get(JOBS + job_id)
                 if item is None:
                     found = await self._ended(job_id)
                     return error(404, "no such job") if found is None else answer(200, found)
@@ -188,9 +189,9 @@
         if not self._state.present.fits(record):
             return error(400, "the job's description is too large")
         accepted = JobAnswer(job_id, Status.CANCELLED if cancelled else Status.PENDING)
-        changes = [Put(f"job/{job_id}", record)]
+        changes = [Put(JOBS + job_id, record)]
         if cancelled:
-            changes = [Put(f"end/{job_id}", EndRecord.of(Status.CANCELLED, spec, now))]
+            changes = [Put(ENDS + job_id, EndRecord.of(Status.CANCELLED, spec, now))]
         try:
             try:
                 await self._put_new(job_id, changes)
@@ -216,7 +217,7 @@
 
     async def _put_new(self, job_id: str, changes: list[Put]) -> None:
         await self._state.commit(
-            [Condition(f"job/{job_id}", 0), Condition(f"end/{job_id}", 0)],
+            [Condition(JOBS + job_id, 0), Condition(ENDS + job_id, 0)],
             changes,
             Urgency.USER,
             timeout=SUBMIT_TIME,
@@ -292,7 +293,7 @@
 
     async def _find(self, job_id: str) -> _Found | None:
         if (known := self._final.get(job_id)) is None:
-            item = await self._state.get(f"job/{job_id}")
+            item = await self._state.get(JOBS + job_id)
             if item is not None:
                 return await self._alive(item)
             known = await self._ended(job_id)
@@ -312,8 +313,8 @@
         except BadMessage:
             end = EndRecord(Status.CANCELLED, 0, wall().timestamp())
         await self._state.commit(
-            [Condition(item.key, item.version), Condition(f"end/{job_id}", 0)],
-            [Put(f"end/{job_id}", end), Drop(item.key)],
+            [Condition(item.key, item.version), Condition(ENDS + job_id, 0)],
+            [Put(ENDS + job_id, end), Drop(item.key)],
             Urgency.USER,
             timeout=SUBMIT_TIME,
         )
@@ -326,7 +327,7 @@
         if (known := self._final.get(job_id)) is not None:
             return known
         asked = steady()
-        item = await self._state.get(f"job/{job_id}")
+        item = await self._state.get(JOBS + job_id)
         if item is not None:
             if waits_for_others(item.value) and await self._orphan(job_id, item, asked):
                 return await self._ended(job_id)
@@ -352,7 +353,7 @@
         return True
 
     async def _ended(self, job_id: str) -> JobAnswer | None:
-        item = await self._state.get(f"end/{job_id}")
+        item = await self._state.get(ENDS + job_id)
         if item is None:
             return None
         try:
--- a/micadeal/controller/errands.py
+++ b/micadeal/controller/errands.py
@@ -16,8 +16,9 @@
 from micadeal.fleet.cloud import Cloud, CloudError, NoCapacity
 from micadeal.http.message import HttpError
 from micadeal.http.network import Network
-from micadeal.rollout.seat import LEADER, token_of
+from micadeal.rollout.seat import token_of
 from micadeal.state.service import Conflict, Refused, StateError, StateService, Urgency
+from micadeal.stored.keys import LEADER
 from micadeal.waiting import sleep
 from micadeal.wire.cloud import RentalRequest
 from micadeal.wire.codec import BadMessage, decode, encode
--- a/micadeal/controller/feeds.py
+++ b/micadeal/controller/feeds.py
@@ -12,8 +12,7 @@
 import curio
 
 from micadeal.clock import seconds, steady
-from micadeal.controller.helpers import Helpers
-from micadeal.controller.intake import placed_of
+from micadeal.controller.helpers import Helpers, keep_reading
 from micadeal.controller.messages import (
     CatalogRead,
     EndRead,
@@ -23,27 +22,40 @@
     Loaded,
     NewSettings,
 )
-from micadeal.controller.records import (
+from micadeal.fleet.cloud import LIST_EVERY, Cloud
+from micadeal.rollout.levels import Level
+from micadeal.state.service import StateError, StateService, TooOld, Urgency
+from micadeal.stored.descriptions import part_keys
+from micadeal.stored.keys import (
     DONE,
+    ENDS,
     FINISHED,
     IMAGES,
+    JOBS,
     LEAVING,
     OLD_PLACED,
+    PARTS,
     PLACED,
+    SETTINGS,
 )
-from micadeal.controller.stored import JOBS, PARTS, part_keys
-from micadeal.fleet.cloud import LIST_EVERY, Cloud, CloudError
-from micadeal.rollout.levels import Level
-from micadeal.state.service import StateError, StateService, TooOld, Urgency
+from micadeal.stored.reading import Stored, read, read_one, read_placed
 from micadeal.waiting import sleep
-from micadeal.wire.codec import BadMessage, convert
-from micadeal.wire.state import EndRecord, Event, Item
+from micadeal.wire.cloud import ListedMachine, MachineType
+from micadeal.wire.codec import BadMessage
+from micadeal.wire.state import (
+    EndRecord,
+    Event,
+    FinishedRecord,
+    ImagesRecord,
+    Item,
+    LeavingRecord,
+    PlacedRecord,
+)
 
 log = logging.getLogger(__name__)
 
 WATCH_HOLD = seconds(2)
 CATALOG_EVERY = seconds(60)
-SETTINGS = "settings"
 
 
 class Feeds:
@@ -63,22 +75,16 @@
         self._helpers = helpers
 
     async def lists(self) -> None:
-        while True:
-            try:
-                await self._tell(ListRead(await self._cloud.machines()))
-                await sleep(LIST_EVERY)
-            except CloudError as problem:
-                log.debug("list of machines: %s", problem)
-                await sleep(seconds(1))
+        async def told(machines: list[ListedMachine]) -> None:
+            await self._tell(ListRead(machines))
+
+        await keep_reading("list of machines", self._cloud.machines, told, LIST_EVERY)
 
     async def catalogs(self) -> None:
-        while True:
-            try:
-                await self._tell(CatalogRead(await self._cloud.catalog()))
-                await sleep(CATALOG_EVERY)
-            except CloudError as problem:
-                log.debug("catalog: %s", problem)
-                await sleep(seconds(1))
+        async def told(types: list[MachineType]) -> None:
+            await self._tell(CatalogRead(types))
+
+        await keep_reading("catalog", self._cloud.catalog, told, CATALOG_EVERY)
 
     async def load(self) -> None:
         """Read everything, then follow what changes."""
@@ -103,7 +109,7 @@
         prefixes = (PLACED, IMAGES, LEAVING, FINISHED, *older)
         found: dict[str, list[Item] | StateError] = {}
 
-        async def read(prefix: str) -> None:
+        async def fetch(prefix: str) -> None:
             try:
                 found[prefix], _ = await self._state.range(prefix, Urgency.LEASE)
             except StateError as problem:
@@ -111,39 +117,45 @@
 
         async with curio.TaskGroup() as group:
             for prefix in prefixes:
-                await group.spawn(read, prefix)
+                await group.spawn(fetch, prefix)
             jobs, revision = await self._state.range(JOBS, Urgency.LEASE)
             parts, _ = await self._state.range(PARTS, Urgency.LEASE)
             settings = await self._state.get(SETTINGS, Urgency.LEASE)
 
         def items(prefix: str) -> list[Item]:
-            read = found.get(prefix, [])
-            if isinstance(read, StateError):
-                raise read
-            return read
-
-        placed = items(PLACED) + items(OLD_PLACED)
-        ended = await self._ended(jobs, placed)
-        finished = items(DONE) + items(FINISHED)
-        images, leaving = items(IMAGES), items(LEAVING)
-        return Loaded(jobs, placed, images, leaving, finished, parts, ended, settings), revision
-
-    async def _ended(self, jobs: list[Item], placed: list[Item]) -> dict[str, EndRecord]:
+            fetched = found.get(prefix, [])
+            if isinstance(fetched, StateError):
+                raise fetched
+            return fetched
+
+        placed = read_placed(items(PLACED) + items(OLD_PLACED))
+        loaded = Loaded(
+            jobs,
+            placed,
+            read(items(IMAGES), ImagesRecord),
+            read(items(LEAVING), LeavingRecord),
+            read(items(DONE) + items(FINISHED), FinishedRecord),
+            parts,
+            await self._ended(jobs, placed),
+            settings,
+        )
+        return loaded, revision
+
+    async def _ended(
+        self, jobs: list[Item], placed: list[Stored[PlacedRecord]]
+    ) -> dict[str, EndRecord]:
         """End records of jobs that are over but may have tasks on machines: these count still."""
         alive = {item.key[len(JOBS) :] for item in jobs}
         over: set[str] = set()
         for item in placed:
-            record = placed_of(item)
-            for entry in record.machines if record else ():
+            for entry in item.record.machines if item.record else ():
                 over |= {task.job_id for task in entry.tasks if task.job_id not in alive}
         ended: dict[str, EndRecord] = {}
         for job_id in sorted(over):
-            end = await self._state.get(f"end/{job_id}", Urgency.LEASE)
-            if end is not None:
-                try:
-                    ended[job_id] = convert(EndRecord, end.value)
-                except BadMessage as problem:
-                    log.error("unreadable record %s: %s", end.key, problem)
+            end = await self._state.get(ENDS + job_id, Urgency.LEASE)
+            record = None if end is None else read_one(end, EndRecord)
+            if record is not None:
+                ended[job_id] = record
         return ended
 
     async def _follow_jobs(self, revision: int) -> None:
@@ -207,7 +219,7 @@
     async def read_end(self, job_id: str) -> None:
         while True:
             try:
-                item = await self._state.get(f"end/{job_id}", Urgency.END)
+                item = await self._state.get(ENDS + job_id, Urgency.END)
                 break
             except StateError as problem:
                 log.debug("end of %s: %s", job_id, problem)
@@ -216,8 +228,5 @@
         if item is None:
             log.info("%s is waited for, and neither alive nor over", job_id)
         else:
-            try:
-                end = convert(EndRecord, item.value)
-            except BadMessage as problem:
-                log.error("unreadable record %s: %s", item.key, problem)
+            end = read_one(item, EndRecord)
         await self._tell(EndRead(job_id, end))
--- a/micadeal/controller/helpers.py
+++ b/micadeal/controller/helpers.py
@@ -1,17 +1,23 @@
-"""Small tasks that an actor starts, and that end with it."""
+"""Small tasks that an actor starts, and that end with it; what is read again and again."""
 
 from __future__ import annotations
 
 import logging
 from collections.abc import Awaitable, Callable
-from typing import Any
+from datetime import timedelta
+from typing import Any, TypeVar
 
 import curio
 
 from micadeal.actor import Overloaded
+from micadeal.clock import seconds
+from micadeal.fleet.cloud import CloudError
+from micadeal.waiting import sleep
 
 log = logging.getLogger(__name__)
 
+T = TypeVar("T")
+
 
 class Helpers:
     """A failure of one is logged and stops neither the others nor their actor."""
@@ -36,3 +42,19 @@
     async def cancel(self) -> None:
         for task in list(self._tasks):
             await task.cancel(blocking=False)
+
+
+async def keep_reading(
+    what: str,
+    read: Callable[[], Awaitable[T]],
+    told: Callable[[T], Awaitable[None]],
+    every: timedelta,
+) -> None:
+    """Read something of the cloud for ever and tell it; sooner again where that failed."""
+    while True:
+        try:
+            await told(await read())
+            await sleep(every)
+        except CloudError as problem:
+            log.debug("%s: %s", what, problem)
+            await sleep(seconds(1))
--- a/micadeal/controller/intake.py
+++ b/micadeal/controller/intake.py
@@ -11,38 +11,26 @@
 
 from micadeal.clock import steady_at
 from micadeal.controller.messages import Loaded
-from micadeal.controller.records import DONE, FINISHED, OLD_PLACED, Recorder
-from micadeal.controller.stored import JOBS, part_keys, whole
+from micadeal.controller.records import Recorder
 from micadeal.jobs.model import CHUNK, SMALL_CHUNK, Job
 from micadeal.operator.policy import Policy
 from micadeal.operator.script import policy_from_values
 from micadeal.scheduling.scheduler import Scheduler
+from micadeal.stored.descriptions import part_keys, whole
+from micadeal.stored.keys import DONE, FINISHED, JOBS
+from micadeal.stored.reading import Stored
 from micadeal.wire.codec import BadMessage, convert
 from micadeal.wire.state import (
     Event,
     FinishedRecord,
     ImagesRecord,
     Item,
-    MachineRecord,
-    PlacedRecord,
     SettingsRecord,
 )
 
 log = logging.getLogger(__name__)
 
 
-def placed_of(item: Item) -> PlacedRecord | None:
-    """A record of placements in either layout; None if it can't be read."""
-    try:
-        if item.key.startswith(OLD_PLACED):
-            name = item.key.removeprefix(OLD_PLACED)
-            return convert(MachineRecord, item.value).placed(name)
-        return convert(PlacedRecord, item.value)
-    except BadMessage as problem:
-        log.error("unreadable record %s: %s", item.key, problem)
-        return None
-
-
 class Intake:
     """Feeds one term's scheduler and recorder with records, as they are read and as they change."""
 
@@ -59,19 +47,18 @@
         for item in loaded.jobs:
             self._load_job(item, now, parts)
         self._drop_orphans(parts)
-        for item in loaded.finished:
-            self._load_finished(item)
+        for chunk in loaded.finished:
+            self._load_finished(chunk)
         for job_id, end in loaded.ended.items():
             self._cluster.load_ended(job_id, end)
-        for item in loaded.placed:
-            record = placed_of(item)
-            if record is not None:
-                self._recorder.versions[item.key] = item.version
-                self._cluster.load_placed(item.key, record, now)
-        for item in loaded.images:
-            self._load_images(item, now)
-        for item in loaded.leaving:
-            self._scheduler.return_again(self._recorder.load_leaving(item, now), now)
+        for placed in loaded.placed:
+            if placed.record is not None:
+                self._recorder.versions[placed.key] = placed.version
+                self._cluster.load_placed(placed.key, placed.record, now)
+        for page in loaded.images:
+            self._load_images(page, now)
+        for leaving in loaded.leaving:
+            self._scheduler.return_again(self._recorder.load_leaving(leaving, now), now)
         for job in list(self._cluster.live_jobs()):
             if job.complete:
                 self._cluster.finished_dirty.add(job.id)
@@ -107,32 +94,29 @@
                 self._recorder.versions[key] = item.version
                 self._recorder.drop(key)
 
-    def _load_finished(self, item: Item) -> None:
-        small = item.key.startswith(FINISHED)
-        rest = item.key.removeprefix(FINISHED if small else DONE)
+    def _load_finished(self, found: Stored[FinishedRecord]) -> None:
+        small = found.key.startswith(FINISHED)
+        rest = found.key.removeprefix(FINISHED if small else DONE)
         job_id, _, chunk = rest.rpartition("/")
-        self._recorder.versions[item.key] = item.version
+        self._recorder.versions[found.key] = found.version
         job = self._cluster.jobs.get(job_id)
         if job is None or not chunk.isdigit():
-            self._recorder.drop(item.key)
+            self._recorder.drop(found.key)
+            return
+        job.stored.add(found.key)
+        if found.record is None:
+            # Its tasks run once more: a worker that has a result kept gives it at once.
             return
-        job.stored.add(item.key)
         try:
-            bits = convert(FinishedRecord, item.value).bits
-            job.load_bits(int(chunk) * (SMALL_CHUNK if small else CHUNK), bits)
+            job.load_bits(int(chunk) * (SMALL_CHUNK if small else CHUNK), found.record.bits)
         except ValueError as problem:
-            # Its tasks run once more: a worker that has a result kept gives it at once.
-            log.error("unreadable record %s: %s", item.key, problem)
+            log.error("unreadable record %s: %s", found.key, problem)
 
-    def _load_images(self, item: Item, now: timedelta) -> None:
-        self._recorder.versions[item.key] = item.version
-        try:
-            record = convert(ImagesRecord, item.value)
-        except BadMessage as problem:
-            log.error("unreadable record %s: %s", item.key, problem)
-            return
-        self._cluster.load_images(record, now)
-        self._recorder.load_images(item.key, record, now)
+    def _load_images(self, page: Stored[ImagesRecord], now: timedelta) -> None:
+        self._recorder.versions[page.key] = page.version
+        if page.record is not None:
+            self._cluster.load_images(page.record, now)
+            self._recorder.load_images(page.key, page.record, now)
 
     def job_event(self, event: Event, now: timedelta, parts: Mapping[str, Item]) -> None:
         if event.drop is not None:
--- a/micadeal/controller/levels.py
+++ b/micadeal/controller/levels.py
@@ -20,6 +20,7 @@
 from micadeal.rollout.membership import Process, Sight, deference, presence
 from micadeal.rollout.seat import Seat
 from micadeal.rollout.steps import Plan, Stock, plan
+from micadeal.stored.keys import LEVEL
 from micadeal.wire import mesh
 from micadeal.wire.codec import BadMessage
 from micadeal.wire.state import LevelRecord
@@ -61,7 +62,7 @@
         """All that is recorded, as just read."""
         if self._seat is not None and seat.revision < self._seat.revision:
             return
-        if seats.LEVEL in seat.damaged and self._seat is not None:
+        if LEVEL in seat.damaged and self._seat is not None:
             # What was read before still holds for whoever leads by it; nobody else will.
             seat = replace(seat, level=self.record)
         before, self._seat = self.record, seat
--- a/micadeal/controller/messages.py
+++ b/micadeal/controller/messages.py
@@ -10,9 +10,19 @@
 from micadeal.leadership.standin import View
 from micadeal.leadership.term import PeerContact
 from micadeal.rollout.steps import Stock
+from micadeal.stored.reading import Stored
 from micadeal.wire.cloud import ListedMachine, MachineType, RentalRequest
 from micadeal.wire.mesh import Counts
-from micadeal.wire.state import EndRecord, Event, Item, LevelRecord
+from micadeal.wire.state import (
+    EndRecord,
+    Event,
+    FinishedRecord,
+    ImagesRecord,
+    Item,
+    LeavingRecord,
+    LevelRecord,
+    PlacedRecord,
+)
 from micadeal.wire.workers import Report
 
 
@@ -68,10 +78,10 @@
     """All that the state service held when the term began."""
 
     jobs: list[Item]
-    placed: list[Item]
-    images: list[Item]
-    leaving: list[Item]
-    finished: list[Item]
+    placed: list[Stored[PlacedRecord]]
+    images: list[Stored[ImagesRecord]]
+    leaving: list[Stored[LeavingRecord]]
+    finished: list[Stored[FinishedRecord]]
     parts: list[Item]
     ended: dict[str, EndRecord]
     settings: Item | None
--- a/micadeal/controller/node.py
+++ b/micadeal/controller/node.py
@@ -13,7 +13,7 @@
 from micadeal.clock import seconds, steady, wall
 from micadeal.controller.desk import Desk
 from micadeal.controller.dispatcher import Dispatcher
-from micadeal.controller.feeds import SETTINGS
+from micadeal.controller.helpers import keep_reading
 from micadeal.controller.levels import Levels
 from micadeal.controller.mesh import Mesh
 from micadeal.controller.messages import (
@@ -29,7 +29,7 @@
     WhyWanted,
 )
 from micadeal.controller.standing import TOUCH, Standing
-from micadeal.fleet.cloud import Cloud, CloudError
+from micadeal.fleet.cloud import Cloud
 from micadeal.fleet.gate import Gate, Way
 from micadeal.http.message import Answer, HttpError, Request, answer, error
 from micadeal.http.network import Network, TcpNetwork
@@ -48,7 +48,9 @@
 from micadeal.rollout.levels import Build, Level
 from micadeal.scheduling.cluster import lease_over
 from micadeal.state.service import Refused, StateError, StateService, Urgency
+from micadeal.stored.keys import SETTINGS
 from micadeal.waiting import sleep
+from micadeal.wire.cloud import MachineType
 from micadeal.wire.codec import BadMessage, convert, decode
 from micadeal.wire.mesh import Notice, Overview, Ping, Pong, Relay, Relayed, WhyAnswer
 from micadeal.wire.state import Put, SettingsRecord
@@ -66,6 +68,7 @@
 #: would drop out, and the balancer would keep it out after the outage is over.
 PEER_CONTACT_TIME = seconds(2.5)
 RETRY = seconds(1)
+CATALOG_EVERY = seconds(300)
 #: A worker's report is held for so long at most while the next leader is being elected, and for so
 #: much of a lease: workers give an answer up after 4 s, and have more controllers to try in time.
 HOLD_TIME = seconds(2)
@@ -173,13 +176,11 @@
 
     async def _catalog(self) -> None:
         """Followers need the machine types to judge submissions; they change rarely."""
-        while True:
-            try:
-                self._desk.set_catalog(await self._cloud.catalog())
-                await sleep(seconds(300))
-            except CloudError as problem:
-                log.debug("catalog: %s", problem)
-                await sleep(seconds(1))
+
+        async def told(types: list[MachineType]) -> None:
+            self._desk.set_catalog(types)
+
+        await keep_reading("catalog", self._cloud.catalog, told, CATALOG_EVERY)
 
     # -- election --------------------------------------------------------------------------
 
--- a/micadeal/controller/records.py
+++ b/micadeal/controller/records.py
@@ -24,6 +24,18 @@
 from micadeal.scheduling.cluster import Cluster
 from micadeal.state.limits import Limits
 from micadeal.state.service import Urgency
+from micadeal.stored.keys import (
+    DONE,
+    ENDS,
+    FINISHED,
+    IMAGES,
+    JOBS,
+    LEAVING,
+    OLD_PLACED,
+    PLACED,
+    job_of,
+)
+from micadeal.stored.reading import Stored
 from micadeal.wire.codec import BadMessage, convert
 from micadeal.wire.state import (
     Condition,
@@ -56,18 +68,10 @@
 IMAGE_PAGES = 48
 IMAGES_EVERY = seconds(20)
 MOST_IMAGES = 12
-PLACED = "placed/"
-IMAGES = "images/"
-LEAVING = "leaving/"
 #: So many machines with tasks that are returned at once are written down for the next leader, and
 #: for how long: then records name what is left of them no more.
 MANY_LEAVING = 3
 LEAVING_TIME = seconds(40)
-#: Finished sets in chunks that every version reads, and in smaller ones.
-DONE = "done/"
-FINISHED = "finished/"
-#: Placements in the layout of earlier versions: read, and replaced as they change.
-OLD_PLACED = "machine/"
 #: A record of another layout is rewritten no more often than this.
 REWRITE_EVERY = seconds(0.5)
 #: Ends of jobs under way at once.
@@ -192,17 +196,14 @@
     def load_images(self, key: str, record: ImagesRecord, now: timedelta) -> None:
         self._pages[key] = (record, now)
 
-    def load_leaving(self, item: Item, now: timedelta) -> list[str]:
+    def load_leaving(self, found: Stored[LeavingRecord], now: timedelta) -> list[str]:
         """Machines that an earlier leader was about to return, if that was a moment ago."""
-        self.versions[item.key] = item.version
-        self._leaving[item.key] = now
-        try:
-            record = convert(LeavingRecord, item.value)
-        except BadMessage as problem:
-            log.error("unreadable record %s: %s", item.key, problem)
+        self.versions[found.key] = found.version
+        self._leaving[found.key] = now
+        record = found.record
+        if record is None or wall().timestamp() - record.at >= LEAVING_TIME.total_seconds():
             return []
-        recent = wall().timestamp() - record.at < LEAVING_TIME.total_seconds()
-        return record.machines if recent else []
+        return record.machines
 
     def next(self, now: timedelta) -> list[Changes]:
         batches = self._ends()
@@ -251,10 +252,10 @@
     def _end(self, job: Job, status: Status) -> Changes:
         self._ending.add(job.id)
         end = EndRecord.of(status, job.spec, wall().timestamp())
-        operations: list[Put | Drop] = [Put(f"end/{job.id}", end), Drop(f"job/{job.id}")]
+        operations: list[Put | Drop] = [Put(f"{ENDS}{job.id}", end), Drop(f"{JOBS}{job.id}")]
         room = self._limits.operations - len(operations)
         operations += [Drop(key) for key in sorted(job.stored)[:room]]
-        conditions = (Condition(f"job/{job.id}", job.version), Condition(f"end/{job.id}", 0))
+        conditions = (Condition(f"{JOBS}{job.id}", job.version), Condition(f"{ENDS}{job.id}", 0))
         return Changes(tuple(operations), conditions, Urgency.END, ends=(job.id, end))
 
     # -- placements ------------------------------------------------------------------------
@@ -475,7 +476,7 @@
             missing = [piece for piece in pieces if piece[0] not in self._carried]
             for target, indexes, record in missing[: most - 1]:
                 operations.append(Put(target, record))
-                job_id = target.split("/")[1]
+                job_id = job_of(target)
                 self._cluster.jobs[job_id].stored.add(target)
                 finished.append((job_id, indexes))
                 daring = daring or not self._limits.fits(record)
@@ -573,7 +574,7 @@
                 self._drops.discard(operation.key)
                 self._cluster.record_gone(operation.key)
                 if operation.key.startswith((DONE, FINISHED)):
-                    job = self._cluster.jobs.get(operation.key.split("/")[1])
+                    job = self._cluster.jobs.get(job_of(operation.key))
                     if job is not None:
                         job.stored.discard(operation.key)
         for job_id, indexes in changes.finished:
@@ -583,7 +584,7 @@
                 continue
             for operation in changes.operations:
                 # The job has ended while this was under way: nothing else would drop it.
-                if operation.key.split("/")[1] == job_id:
+                if job_of(operation.key) == job_id:
                     self.drop(operation.key)
 
     def failed(self, changes: Changes, found: dict[str, Item | None], now: timedelta) -> None:
@@ -593,7 +594,7 @@
             # of jobs tells the cluster.
             job_id, _ = changes.ends
             self._ending.discard(job_id)
-            item = found.get(f"end/{job_id}")
+            item = found.get(f"{ENDS}{job_id}")
             job = self._cluster.jobs.get(job_id)
             if job is not None and item is not None:
                 self.job_over(job)
--- a/micadeal/leadership/election.py
+++ b/micadeal/leadership/election.py
@@ -11,7 +11,7 @@
 from micadeal.leadership.term import Term
 from micadeal.rollout import seat as seats
 from micadeal.rollout.membership import Process
-from micadeal.rollout.seat import MEMBER, Seat
+from micadeal.rollout.seat import Seat
 from micadeal.state.service import (
     Conflict,
     LeaseGone,
@@ -21,6 +21,7 @@
     Urgency,
     lease_end,
 )
+from micadeal.stored.keys import LEADER, MEMBER, SEAT
 from micadeal.waiting import sleep
 from micadeal.wire.codec import BadMessage
 
@@ -69,8 +70,9 @@
 
 
 async def read_seat(state: StateService) -> Seat:
-    items, revision = await state.range(seats.LEADER, Urgency.LEASE)
-    return seats.read(items, revision)
+    items, revision = await state.range(SEAT, Urgency.LEASE)
+    leader = await state.get(LEADER, Urgency.LEASE)
+    return seats.read(items if leader is None else [leader, *items], revision)
 
 
 class Election:
@@ -148,10 +150,12 @@
         return seat
 
     async def _await_change(self, seat: Seat) -> None:
+        # What ends a term changes there.
+        prefix = SEAT if seat.fenced else LEADER
         after = seat.revision
         while True:
             try:
-                found = await self._state.changes(seats.LEADER, after, WATCH_HOLD, self._watch)
+                found = await self._state.changes(prefix, after, WATCH_HOLD, self._watch)
             except TooOld:
                 return
             if any(event.version > seat.revision for event in found.events):
--- a/micadeal/rollout/seat.py
+++ b/micadeal/rollout/seat.py
@@ -1,15 +1,15 @@
-"""All that is recorded under ``leader``: who leads, at which level, which processes serve; and the
-transactions that change it.
+"""The seat: who leads, at which level, which processes serve; and the transactions that change it.
 
-One prefix, so that one read shows a consistent picture and one watch tells of every change.
+All but ``leader`` itself is under one prefix.  What is read of the two may be of different moments;
+every transaction depends on the versions that were read.
 
 - ``leader``: name and lease of the leader.  At level 0 it is attached to that lease, as the
   versions before levels have it, and vanishes with it.  From level 1 on it never vanishes: such a
   version stands for the seat only where the key does not exist, so it can't be elected any more.
-- ``leader/held``: from level 1 on, attached to the leader's lease: the seat is taken as long as it
+- ``seat/held``: from level 1 on, attached to the leader's lease: the seat is taken as long as it
   exists.
-- ``leader/level``: the level in force (``LevelRecord``); absent: 0.
-- ``leader/member/<name>``: the present process of each controller.
+- ``seat/level``: the level in force (``LevelRecord``); absent: 0.
+- ``seat/member/<name>``: the present process of each controller.
 
 A term's token is the revision of the transaction that won it.  Every write of a leader depends on
 the version of ``leader``, its *fence*.  Each move of the level writes ``leader`` anew, so nothing
@@ -25,6 +25,7 @@
 
 from micadeal.rollout.levels import Build, Level, sensible
 from micadeal.rollout.membership import Process
+from micadeal.stored.keys import HELD, LEADER, LEVEL, MEMBER
 from micadeal.wire.codec import BadMessage, convert
 from micadeal.wire.state import (
     Condition,
@@ -37,11 +38,6 @@
     Put,
 )
 
-LEADER = "leader"
-HELD = "leader/held"
-LEVEL = "leader/level"
-MEMBER = "leader/member/"
-
 
 @dataclass(frozen=True, slots=True)
 class Member:
--- a/micadeal/rollout/steps.py
+++ b/micadeal/rollout/steps.py
@@ -10,7 +10,8 @@
 
 from micadeal.clock import seconds
 from micadeal.rollout.membership import Presence, Process, Sight, presence
-from micadeal.rollout.seat import MEMBER, Seat
+from micadeal.rollout.seat import Seat
+from micadeal.stored.keys import MEMBER
 from micadeal.wire.state import LevelRecord
 
 #: All must have shown the level in one process for so long before it is raised: a process that dies
--- a/micadeal/controller/stored.py
+++ b/micadeal/stored/descriptions.py
@@ -14,11 +14,10 @@
 
 from micadeal.state.limits import Limits
 from micadeal.state.service import StateService, Urgency
+from micadeal.stored.keys import JOBS, PARTS
 from micadeal.wire.codec import BadMessage, convert, decode, encode
 from micadeal.wire.state import Item, JobNeeds, JobRecord, PartRecord, Put, SplitRecord
 
-JOBS = "job/"
-PARTS = "part/"
 #: What a value has beside its text.
 FRAME = 64
 #: Larger than any submission: a bound on what a damaged record could unpack to.
--- a/micadeal/wire/state.py
+++ b/micadeal/wire/state.py
@@ -89,14 +89,14 @@
 
 
 class HeldRecord(msgspec.Struct):
-    """Under ``leader/held``, attached to the lease it names: the seat is taken."""
+    """Under ``seat/held``, attached to the lease it names: the seat is taken."""
 
     controller: str
     lease: int
 
 
 class LevelRecord(msgspec.Struct, frozen=True):
-    """Under ``leader/level``: what the controllers write and do together (rollout/levels.py)."""
+    """Under ``seat/level``: what the controllers write and do together (rollout/levels.py)."""
 
     # Whoever leads or serves users must know this level.
     level: int = 0
@@ -113,7 +113,7 @@
 
 
 class MemberRecord(msgspec.Struct):
-    """Under ``leader/member/<name>``: the controller's present process, written once by it."""
+    """Under ``seat/member/<name>``: the controller's present process, written once by it."""
 
     process: str
     build: str
--- a/tests/fakes/earlier.py
+++ b/tests/fakes/earlier.py
@@ -114,6 +114,7 @@
     def __init__(self, name: str, state: StateService, listener: Listener) -> None:
         self._name, self._state, self._listener = name, state, listener
         self._resigned = False
+        self._watch = state.watch_client()
 
     def resign(self, why: str = "") -> None:
         self._resigned = True
@@ -133,7 +134,15 @@
             await self._state.end_lease(item.value["lease"])
         else:
             await self._listener(LeaderSeen(item.value["controller"], item.version))
-            await sleep(seconds(0.3))
+            await self._await_change(item.version)
+
+    async def _await_change(self, version: int) -> None:
+        after = version
+        while True:
+            found = await self._state.changes("leader", after, seconds(2), self._watch)
+            if not found.events or any(event.version > version for event in found.events):
+                return
+            after = max(after, found.revision)
 
     async def _stand(self) -> None:
         sent, ttl = steady(), seconds(3)
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -189,12 +189,12 @@
             worker.end()
 
     def leader(self) -> int | None:
-        entry = self.state.keys.get("leader/held" if self.level() else "leader")
+        entry = self.state.keys.get("seat/held" if self.level() else "leader")
         return None if entry is None else int(entry[0]["controller"][1:])
 
     def level(self) -> int:
         """In force, as recorded."""
-        entry = self.state.keys.get("leader/level")
+        entry = self.state.keys.get("seat/level")
         return 0 if entry is None else int(entry[0]["level"])
 
     # -- users -----------------------------------------------------------------------------
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -122,7 +122,7 @@
                 old.tasks += [PlacedTask(t.job_id, t.index, t.attempt) for t in m.tasks]
         for name, record in by_machine.items():
             world.state.keys[f"machine/{name}"] = (decode(dict, encode(record)), 5, None)
-        for key in [key for key in world.state.keys if key.startswith("leader")]:
+        for key in [key for key in world.state.keys if key.startswith(("leader", "seat/"))]:
             del world.state.keys[key]  # it knew of no levels
         world.state.keys["machine/broken"] = ({"tasks": 7}, 6, None)
         for number in range(3):
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -7,9 +7,9 @@
 import curio
 import pytest
 
+from bench.model_rollout import GUARDS, broken_without, explore, start
 from micadeal.clock import ZERO, seconds
 from micadeal.http.message import Answer, Request
-from micadeal.jobs.model import to_bits
 from micadeal.rollout import seat as seats
 from micadeal.rollout.levels import Build
 from micadeal.rollout.membership import DEFERENCE, Presence, Process, Sight, deference, presence
@@ -77,7 +77,7 @@
         assert found["level"] == found["writes"] == 1
         for job in jobs:
             await world.until_done(job)
-        await world.until(lambda: world.state.keys["leader/level"][0]["oldest"] == 1)
+        await world.until(lambda: world.state.keys["seat/level"][0]["oldest"] == 1)
         assert world.running(service) == 2
 
     world = World().play(monkeypatch, story)
@@ -170,6 +170,34 @@
     World().play(monkeypatch, story)
 
 
+def test_what_is_recorded_wakes_no_earlier_version_again_and_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards the state service's rate: an earlier version watches all that begins with ``leader``,
+    and asks anew at once as long as anything there is newer than the leader's own record."""
+
+    async def story(world: World) -> None:
+        handle, asked = world.state.handle, [0]
+
+        async def counted(request: Request) -> Answer:
+            asked[0] += request.path == "/changes" and "starts=leader&" in request.query
+            return await handle(request)
+
+        world.network.serve("state", "10.2.0.1:2379", counted)
+        await replace(world, 2, 0.1, **LAST)
+        await curio.sleep(4)
+        leader = world.leader()
+        assert leader is not None
+        if leader == 2:
+            await replace(world, 2, 5.0, **LAST)
+        await replace(world, 1 - (world.leader() or 0), 1.0)
+        asked[0] = 0
+        await curio.sleep(20)
+        assert asked[0] < 40
+
+    World().play(monkeypatch, story)
+
+
 def test_a_process_that_does_not_know_the_level_serves_nobody_and_says_so(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -209,13 +237,13 @@
         await world.until(lambda: world.level() == 2, limit=15)
         await world.until(lambda: any(k.startswith(f"finished/{job}") for k in world.state.keys))
         await hold(world, 0)
-        await world.until(lambda: world.state.keys["leader/level"][0]["writes"] == 0, limit=10)
+        await world.until(lambda: world.state.keys["seat/level"][0]["writes"] == 0, limit=10)
         leader = world.leader()
         assert leader is not None
         await replace(world, leader, **NEXT)
         await world.until(lambda: world.level() == 0, limit=60)
         assert not any(k.startswith("finished/") for k in world.state.keys)
-        assert "leader/held" not in world.state.keys
+        assert "seat/held" not in world.state.keys
         # Now, and only now, an earlier version may be started, and leads with what it finds.
         for number in range(3):
             await replace(world, number, 1.0, **LAST)
@@ -226,7 +254,7 @@
             await replace(world, number, 1.0)
         await hold(world, None)
         await world.until(lambda: world.level() == 1, limit=15)
-        await world.until(lambda: world.state.keys["leader/level"][0]["oldest"] == 1, limit=60)
+        await world.until(lambda: world.state.keys["seat/level"][0]["oldest"] == 1, limit=60)
         assert not any(k.startswith("done/") for k in world.state.keys)
 
     world = World(capacity=4).play(monkeypatch, story)
@@ -243,7 +271,7 @@
         swallowed: list[int] = []
 
         async def once(request: Request) -> Answer:
-            raising = request.path == "/txn" and b"leader/level" in request.body
+            raising = request.path == "/txn" and b"seat/level" in request.body
             if raising and b"members" in request.body and not swallowed:
                 swallowed.append(1)
                 if lost == "after":
@@ -346,24 +374,24 @@
 ) -> None:
     async def story(world: World) -> None:
         job = await world.run_job("array", 2, run_s=60.0)
-        world.state.keys["leader/member/c1"] = ({"what": 7}, world.state.revision, None)
-        world.state.keys["leader/member/stranger"] = ({"what": 7}, world.state.revision, None)
+        world.state.keys["seat/member/c1"] = ({"what": 7}, world.state.revision, None)
+        world.state.keys["seat/member/stranger"] = ({"what": 7}, world.state.revision, None)
         await curio.sleep(8)
-        assert world.level() == 0 and "leader/member/c1 can't be read" in await waits(world)
+        assert world.level() == 0 and "seat/member/c1 can't be read" in await waits(world)
         await replace(world, 1, 1.0)
         await world.until(lambda: world.level() == 1, limit=12)
-        good = world.state.keys["leader/level"]
-        world.state.keys["leader/level"] = ({"level": -3}, world.state.revision + 1, None)
+        good = world.state.keys["seat/level"]
+        world.state.keys["seat/level"] = ({"level": -3}, world.state.revision + 1, None)
         world.state.revision += 1
         leader = world.leader()
         assert leader is not None
         await replace(world, leader, 1.0)
         await curio.sleep(10)
-        assert "leader/held" not in world.state.keys
-        refused = [r for r in caplog.records if "leader/level can't be read" in r.message]
+        assert "seat/held" not in world.state.keys
+        refused = [r for r in caplog.records if "seat/level can't be read" in r.message]
         assert 1 <= len(refused) <= 3  # once each
         world.state.revision += 1
-        world.state.keys["leader/level"] = (good[0], world.state.revision, None)
+        world.state.keys["seat/level"] = (good[0], world.state.revision, None)
         await world.until(lambda: world.leader() is not None, limit=10)
         await world.until_done(job)
 
@@ -390,7 +418,7 @@
         world.state.outage = True
         await curio.sleep(6)
         world.state.outage = False
-        await world.until(lambda: world.state.keys["leader/level"][0]["oldest"] == 1, limit=60)
+        await world.until(lambda: world.state.keys["seat/level"][0]["oldest"] == 1, limit=60)
         assert not any(k.startswith("done/") for k in world.state.keys)
 
     from tests.fakes.world import COMING
@@ -499,20 +527,36 @@
     process = Process("p1", Build("b", 0, 1))
     conditions, changes = seats.registration(seats.read([], 0), "c0", process, 5.0)
     assert conditions[0].version == 0
-    member = Item("leader/member/c0", seats.value(changes[0].value), 3)  # type: ignore[union-attr]
+    member = Item("seat/member/c0", seats.value(changes[0].value), 3)  # type: ignore[union-attr]
     seat = seats.read([member], 3)
     assert seats.registered(seat, "c0", process) and not seat.taken
     assert seats.refusal(seat, "c0", process) is None
     assert "another process" in str(seats.refusal(seat, "c0", Process("p2", process.build)))
     for value in ({"level": 2, "writes": 2, "oldest": 3}, {"level": "x"}, 7, None):
-        damaged = seats.read([member, Item("leader/level", value, 4)], 4)
-        assert damaged.damaged == ("leader/level",)
+        damaged = seats.read([member, Item("seat/level", value, 4)], 4)
+        assert damaged.damaged == ("seat/level",)
         assert "can't be read" in str(seats.refusal(damaged, "c0", process))
-    later = seats.read([member, Item("leader/level", {"level": 2, "writes": 2, "oldest": 2}, 4)], 4)
+    later = seats.read([member, Item("seat/level", {"level": 2, "writes": 2, "oldest": 2}, 4)], 4)
     assert "level 2 is in force" in str(seats.refusal(later, "c0", process))
     skipped = Process("p1", Build("n", 1, 2))
     assert "are still stored" in str(skipped.build.refusal(LevelRecord(1, 1, 0)))
 
 
-def test_bits_are_the_same_in_either_layout() -> None:
-    assert to_bits([4_001], 4_000) == to_bits([1], 0)
+@pytest.mark.parametrize(
+    "world",
+    [
+        {"ends": 1, "leases": 0, "writes": 1},
+        {"ends": 1, "leases": 0, "writes": 0, "third": 2},
+        {"ends": 0, "leases": 0, "writes": 1, "turns": 1, "third": 2},
+    ],
+    ids=str,
+)
+def test_no_course_of_a_small_world_breaks_anything(world: dict[str, int]) -> None:
+    states, broken = explore(start(**world))
+    assert broken is None
+    assert states > 30
+
+
+@pytest.mark.parametrize("guard", GUARDS)
+def test_each_guard_of_the_level_holds_something(guard: str) -> None:
+    assert broken_without(guard) is not None
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -11,9 +11,9 @@
 
 from micadeal.clock import ZERO, seconds
 from micadeal.controller.records import Recorder
-from micadeal.controller.stored import part_keys, split, whole
 from micadeal.jobs.model import CHUNK, SMALL_CHUNK, Job, to_bits
 from micadeal.state.limits import Limits
+from micadeal.stored.descriptions import part_keys, split, whole
 from micadeal.wire import mesh
 from micadeal.wire import state as records
 from micadeal.wire.codec import decode, encode, json_size
