Random histories of writes, leaders and levels: whoever reads finds what was written

Need: rewriting between layouts must lose nothing whatever becomes of a write. A state machine of hypothesis plays finishing tasks, writes that are applied, lost or refused, next leaders and moves of the level over the real recorder, plan and intake. Seen to fail with a record dropped before its copies are written, and with copies of an earlier level taken for present ones.

--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -4,16 +4,27 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import Any
 
+import hypothesis.strategies as st
 import msgspec
 import pytest
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from micadeal.clock import seconds
+from micadeal.controller.intake import Intake
 from micadeal.controller.records import Changes, Recorder
+from micadeal.rollout.levels import Build
+from micadeal.rollout.membership import Process, Sight
+from micadeal.rollout.steps import plan
 from micadeal.state.limits import Limits
+from micadeal.stored.reading import read
 from micadeal.wire.codec import convert, decode, encode
 from micadeal.wire.state import (
+    FinishedRecord,
     Item,
+    LevelRecord,
     MachineRecord,
     PlacedRecord,
     PlacedTask,
@@ -159,3 +170,118 @@
             recorder.committed(batch, 1, picture.now)
     assert written == 90
     assert not picture.cluster.finished_dirty
+
+
+class Histories(RuleBasedStateMachine):
+    """Tasks finish, writes happen, are lost or fail, leaders follow each other, the level
+    goes up and down, by the real decisions: whoever reads finds what was written."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.keys: dict[str, tuple[Any, int]] = {}
+        self.revision = 1
+        self.level = LevelRecord()
+        self.picture = Picture(1, 0)
+        self.job = self.picture.submit(shape=Shape.ARRAY, tasks=60_000)
+        self.recorder = Recorder(self.picture.cluster, Limits(200, 80, 4, 8192))
+        self.written: set[int] = set()
+
+    @rule(
+        first=st.sampled_from([0, 6, 3]), parts=st.sampled_from([6, 4, 1]), index=st.integers(0, 3)
+    )
+    def finish(self, first: int, parts: int, index: int) -> None:
+        for part in range(first, first + parts):
+            self.job.finish(part * 4_000 + index)
+        self.picture.cluster.finished_dirty.add(self.job.id)
+
+    @rule(
+        outcomes=st.sampled_from(
+            [["done"] * 10, ["done"], ["lost", "done"], ["refused", "done", "done"]]
+        )
+    )
+    def write(self, outcomes: list[str]) -> None:
+        for outcome in outcomes:
+            self.picture.now += seconds(1.5)
+            for batch in self.recorder.next(self.picture.now):
+                assert batch.ends is None
+                if outcome != "refused":
+                    self._apply(batch)
+                if outcome == "done":
+                    self.recorder.committed(batch, self.revision, self.picture.now)
+                else:
+                    found = {
+                        c.key: Item(c.key, *self.keys[c.key]) if c.key in self.keys else None
+                        for c in batch.conditions
+                    }
+                    self.recorder.failed(batch, found, self.picture.now)
+        self.written = set(self.job.durable)
+
+    def _apply(self, batch: Changes) -> None:
+        for condition in batch.conditions:
+            assert self.keys.get(condition.key, (None, 0))[1] == condition.version
+        self.revision += 1
+        for operation in batch.operations:
+            if isinstance(operation, Put):
+                value = decode(dict, encode(operation.value))
+                self.keys[operation.key] = (value, self.revision)
+            else:
+                self.keys.pop(operation.key, None)
+
+    @rule(ceiling=st.sampled_from([0, 1]))
+    def step(self, ceiling: int) -> None:
+        own = Process("p", Build("b", 0, 1))
+        now = seconds(1000)
+        sights = {"x": Sight(own, seconds(900), now)}
+        found = plan(self.level, own, sights, ceiling, self.recorder.stock(), now)
+        if found.move is not None:
+            self.level = found.move
+            self.recorder.level_moved(self.level)
+
+    @rule()
+    def next_leader(self) -> None:
+        """Reads only what the level says that there is."""
+        gone = ("done/", "machine/") if self.level.oldest >= 1 else ()
+        finished = [
+            Item(key, *found)
+            for key, found in self.keys.items()
+            if key.startswith(("done/", "finished/")) and not key.startswith(gone or "-")
+        ]
+        before = self.job
+        self.picture = Picture(1, 0)
+        self.job = self.picture.submit(shape=Shape.ARRAY, tasks=60_000)
+        assert self.job.id == before.id
+        self.recorder = Recorder(self.picture.cluster, Limits(200, 80, 4, 8192), level=self.level)
+        intake = Intake(self.picture.scheduler, self.recorder)
+        for chunk in read(finished, FinishedRecord):
+            intake._load_finished(chunk)
+        assert self.written <= self.job.finished <= before.finished
+        self.written = set(self.job.durable)
+
+    @invariant()
+    def layouts_are_as_the_level_says(self) -> None:
+        assert not [k for k in self.keys if k.startswith("done/") and self.level.oldest >= 1]
+        if self.level.level == 0:
+            assert not [k for k in self.keys if k.startswith("finished/")]
+
+
+TestHistories = Histories.TestCase
+TestHistories.settings = settings(
+    max_examples=120, stateful_step_count=30, deadline=None, derandomize=True
+)
+
+
+def test_up_and_down_and_up_again_in_one_term_loses_nothing() -> None:
+    """Guards finished work: what a term wrote at a level before the last move is not taken for a
+    copy of what it has written since."""
+    history = Histories()
+    history.finish(0, 6, 1)
+    history.write(["done"] * 10)
+    for ceiling in (1, 1, 0, 0, 1, 1):
+        history.step(ceiling)
+        history.write(["done"] * 10)
+        history.layouts_are_as_the_level_says()
+        history.finish(0, 6, ceiling + 2)
+    history.write(["done"] * 10)
+    history.next_leader()
+    assert history.level.oldest == 1
+    assert len(history.job.finished) == 18
