--- a/micadeal/controller/feeds.py
+++ b/micadeal/controller/feeds.py
@@ -123,7 +123,8 @@
             settings = await self._state.get(SETTINGS, Urgency.LEASE)
 
         def items(prefix: str) -> list[Item]:
-            fetched = found.get(prefix, [])
+            # Guards ``ran_twice``: what could not be fetched is not taken for nothing.
+            fetched = found[prefix] if prefix in prefixes else []
             if isinstance(fetched, StateError):
                 raise fetched
             return fetched
--- a/micadeal/controller/levels.py
+++ b/micadeal/controller/levels.py
@@ -119,7 +119,8 @@
         sight = before.hear(process, asked, now, age, touch, pong.reaches)
         self._sights[name] = sight
         if sight.restarts > before.restarts:
-            log.info("%s is another process now: %s", name, process)
+            build = "a version before levels" if process is None else process.build.name
+            log.info("%s is another process now, of %s", name, build)
 
     @property
     def acts_at(self) -> int:
--- a/micadeal/controller/node.py
+++ b/micadeal/controller/node.py
@@ -155,8 +155,7 @@
         await self.retire()
 
     async def retire(self) -> None:
-        """Take no more work, write what is under way, leave the seat: the next one leads at
-        once."""
+        """Take no more work, write what is under way and leave the seat to the next leader."""
         log.info("this process ends")
         self._retiring = True
         until = steady() + END_TIME
