--- a/micadeal/controller/dispatcher.py
+++ b/micadeal/controller/dispatcher.py
@@ -53,6 +53,7 @@
 from micadeal.leadership.term import PeerContact, Power, Term
 from micadeal.operator.platform import Platform
 from micadeal.operator.policy import Policy
+from micadeal.rollout.membership import Presence, presence
 from micadeal.rollout.steps import Stock
 from micadeal.scheduling import answers
 from micadeal.scheduling.cluster import Cluster, HigherToken
@@ -61,6 +62,7 @@
 from micadeal.waiting import sleep
 from micadeal.wire.cloud import MachineType
 from micadeal.wire.workers import DirectOrders, Orders, Report
+from micadeal.zones.watch import Zones
 
 log = logging.getLogger(__name__)
 
@@ -69,6 +71,8 @@
 PASS_EVERY = timedelta(milliseconds=100)
 #: Past this a pass comes before the messages that wait: else a flood would stop all placing.
 PASS_PATIENCE = seconds(1)
+#: A machine is silent after so many report intervals.
+SILENT_REPORTS = 2
 #: Direct commands under way at once.
 MOST_DIRECT = 24
 #: Reads of jobs' ends under way at once.
@@ -120,6 +124,7 @@
         self._cascaded: timedelta | None = None
         self._helpers = Helpers()
         self._intake = Intake(self._scheduler, self._recorder)
+        self._zones = Zones(platform.zones, platform.zone, now)
         self._raising = Raising(levels, state, term, self.ask, self.tell)
         self._feeds = Feeds(state, cloud, self.tell, self._helpers, levels.record.oldest)
         self._errands = Errands(
@@ -174,6 +179,7 @@
         if self._loaded and self._power() is Power.FULL:
             if isinstance(message, Tick):
                 self._scheduler.tick(now, leases_count=self._leases_count(now))
+                self._look_at_zones(now)
                 self._log_effort(now)
                 now = self._spent("clock", now)
             if self._pass_is_due(now):
@@ -191,6 +197,17 @@
             await self._read_ends(isinstance(message, Tick))
         return result
 
+    def _look_at_zones(self, now: timedelta) -> None:
+        sights = self._levels.sights
+        controllers: dict[str, Presence] = {}
+        for peer in self._platform.peers:
+            seen = presence(peer.name, sights, now)
+            controllers[peer.zone] = min(
+                seen, controllers.get(peer.zone, seen), key=list(Presence).index
+            )
+        silence = self._platform.workers.report * SILENT_REPORTS
+        self._zones.look(self._cluster.machines.values(), controllers, silence, now)
+
     def _pass_is_due(self, now: timedelta) -> bool:
         """Reports that wait are taken in before a pass, but not for ever."""
         if self._retiring or now < self._pass_due or not self._scheduler.wants_pass(now):
@@ -291,6 +308,7 @@
                     contact=self._power() is Power.FULL,
                 )
                 found.level = self._levels.line(now)
+                found.notes = sorted([*found.notes, *self._zones.notes(now)])
                 return found
         return None
 
--- /dev/null
+++ b/micadeal/zones/__init__.py
@@ -0,0 +1,1 @@
+"""What is known of each zone: reachable, in doubt, cut off, lost, coming back.  Pure."""
