Level: one that can't be read is not written over; what is under way goes on

Found in rereading, with a story that failed before: a leader at level 0 raised over a record that it could not read. With a later build as leader, records of the level in force are settled while it waits for the others.

--- a/micadeal/controller/raising.py
+++ b/micadeal/controller/raising.py
@@ -17,6 +17,7 @@
 from micadeal.rollout.seat import Seat, moving, same_level
 from micadeal.rollout.steps import confirm
 from micadeal.state.service import Conflict, LeaseGone, StateError, StateService, Urgency
+from micadeal.stored.keys import LEVEL
 from micadeal.waiting import sleep
 
 log = logging.getLogger(__name__)
@@ -67,7 +68,7 @@
             self._levels.seen(seat)
             if seat.fence != self._fence:
                 self._fence = seat.fence
-                await self._tell(LevelMoved(seat.level, seat.fence))
+                await self._tell(LevelMoved(self._levels.record, seat.fence))
         return seat
 
     async def _step(self) -> None:
@@ -76,6 +77,10 @@
         if found.move is None:
             return
         seat = await self._look()
+        if LEVEL in seat.damaged:
+            # It may be a later version's: not to be written over by what we believe.
+            self._levels.waiting_for([f"the record {LEVEL} can't be read"])
+            return
         if seat.token != self._term.token or not same_level(seat.level, self._levels.record):
             return
         names: list[str] = []
--- a/micadeal/leadership/election.py
+++ b/micadeal/leadership/election.py
@@ -166,7 +166,12 @@
                 return
 
     async def _stand(self, seat: Seat) -> None:
-        await sleep(self._deference())
+        wait = self._deference()
+        if wait:
+            await sleep(wait)
+            seat = await read_seat(self._state)
+            if seat.taken or seats.refusal(seat, self._name, self._process) is not None:
+                return
         sent = steady()
         lease = await self._state.new_lease(LEASE_TIME)
         conditions, changes = seats.standing(seat, self._name, self._process, lease)
--- a/micadeal/rollout/steps.py
+++ b/micadeal/rollout/steps.py
@@ -54,20 +54,22 @@
     top = own.build.highest if ceiling is None else min(own.build.highest, ceiling)
     if top < record.writes:
         return _lower(record, own, sights, top)
+    waits: tuple[str, ...] = ()
     if top > record.writes and top >= record.level:
         raising = _raise(record, own, sights, top, now)
-        if raising.move is not None or record.level == record.writes:
+        if raising.move is not None:
             return raising
-        # Half way down and up again: what waits is said, and the way down goes on below.
+        # What is under way at the level in force goes on meanwhile.
+        waits = raising.waits
     if record.level > record.writes:
-        return _write_back(record, stock)
+        return _write_back(record, stock, waits)
     if record.oldest < record.writes:
-        if stock.older:
-            return Plan(waits=(f"{stock.older} records of earlier levels are still rewritten",))
-        return Plan(_with(record, oldest=record.writes))
+        if not stock.older:
+            return Plan(_with(record, oldest=record.writes), waits=waits)
+        waits = (*waits, f"{stock.older} records of earlier levels are still rewritten")
     if ceiling is not None and own.build.highest > ceiling == record.writes:
-        return Plan(waits=(f"the settings hold the level at {ceiling}",))
-    return Plan()
+        waits = (*waits, f"the settings hold the level at {ceiling}")
+    return Plan(waits=waits)
 
 
 def _with(record: LevelRecord, **changes: int) -> LevelRecord:
@@ -115,18 +117,18 @@
     return Plan(_with(record, writes=top, oldest=min(record.oldest, top)))
 
 
-def _write_back(record: LevelRecord, stock: Stock) -> Plan:
+def _write_back(record: LevelRecord, stock: Stock, waits: tuple[str, ...]) -> Plan:
     if not stock.newer:
         return Plan(_with(record, level=record.writes))
     going = f"going back to level {record.writes}: "
     if stock.stuck:
-        return Plan(
-            waits=(
-                f"{going}{stock.stuck} records can't be written back within the state service's "
-                "limits; they go with the jobs that they belong to",
-            )
+        text = (
+            f"{stock.stuck} records can't be written back within the state service's limits; "
+            "they go with the jobs that they belong to"
         )
-    return Plan(waits=(f"{going}{stock.newer} records are still written back",))
+    else:
+        text = f"{stock.newer} records are still written back"
+    return Plan(waits=(*waits, going + text))
 
 
 def confirm(
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -398,6 +398,28 @@
     World().play(monkeypatch, story)
 
 
+def test_a_level_that_can_not_be_read_is_not_written_over(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards what is stored: it may be that of a later version, and say what we don't know."""
+
+    async def story(world: World) -> None:
+        await hold(world, 0)
+        await curio.sleep(5)
+        world.state.revision += 1
+        damaged = ({"level": "many"}, world.state.revision, None)
+        world.state.keys["seat/level"] = damaged
+        await hold(world, None)
+        await curio.sleep(10)
+        assert world.state.keys["seat/level"] == damaged
+        leader = await overview(world)
+        assert "seat/level can't be read" in "; ".join(leader["level"]["waits"])
+
+    world = World()
+    monkeypatch.setattr(world, "level", lambda: 0)
+    world.play(monkeypatch, story)
+
+
 def test_the_state_service_is_out_and_limits_fall_in_the_middle(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -512,6 +534,9 @@
     there = LevelRecord(2, 2, 0)
     assert step(there, stock=Stock(older=3)).move is None
     assert step(there).move.oldest == 2
+    # A later build leads: what is under way at the level in force does not wait for the others.
+    after = plan(LevelRecord(1, 1, 0), OWN, {"x": Sight()}, None, Stock(), NOW)
+    assert after.move == LevelRecord(1, 1, 1) and "never seen" in after.waits[0]
     lowering = step(LevelRecord(2, 2, 2), 1).move
     assert (lowering.level, lowering.writes, lowering.oldest) == (2, 1, 1)
     assert step(lowering, 1, Stock(newer=2)).move is None
