--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -38,11 +38,12 @@
 """
 
 
-def settings(number: int, teams: str, coming: str = "") -> str:
+def settings(number: int, teams: str, coming: str = "", without: int | None = None) -> str:
+    """``without``: a controller that was taken off the list."""
     seeds = "".join(
         f'[[seeds]]\nmember = "c{i}"\ndomain = "{ZONES[i]}"\nendpoint = "10.0.0.{i + 1}:8081"\n'
         for i in range(3)
-        if i != number
+        if i not in (number, without)
     )
     return f"""
 member = "c{number}"
@@ -155,12 +156,13 @@
         earlier: bool = False,
         unlevelled: bool = False,
         build: Build | None = None,
+        without: int | None = None,
     ) -> None:
         """``earlier``: it knows no more than the version in production before pipelines;
         ``unlevelled``: than the last one before levels; ``build``: which levels it knows."""
         name = f"c{number}"
         power = self._powers[name] = HostPower()
-        platform = parse(settings(number, self.teams, self.coming))
+        platform = parse(settings(number, self.teams, self.coming, without))
         node: Node
         if earlier or unlevelled:
             kind = EarlierNetwork if earlier else UnlevelledNetwork
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -154,7 +154,18 @@
         await world.until(lambda: world.level() == 1, limit=10)
         await replace(world, 0, 1.0, **OLDER)
         await replace(world, 1, 1.0, **LAST)
+        await world.until(lambda: world.leader() == 2, limit=10)
         await curio.sleep(5)
+        # As followers they serve users by layouts that have not changed.
+        for number in range(2):
+            other = world.job("daemon", 1, run_s=0.0, crew="blue")
+            status, _ = await world.call(number, "POST", "/work", world.fleet.jobs[other].spec)
+            assert status == 201
+            world.told.accepted.add(other)
+            await world.until(lambda job=other: world.running(job) == 1, limit=60)  # type: ignore[misc]
+            assert await world.status(other, 1 - number) in ("pending", "running")
+            assert await world.cancel(other, number) == "cancelled"
+            await world.until(lambda job=other: not world.held(job), limit=30)  # type: ignore[misc]
         world.crash(2)
         token = world.state.keys["leader"][1]
         await curio.sleep(20)
@@ -369,6 +380,29 @@
     World().play(monkeypatch, story)
 
 
+def test_a_controller_that_is_gone_for_good_is_taken_off_the_list(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The level does not hang for ever, nor rise without anyone's word."""
+
+    async def story(world: World) -> None:
+        for number in range(3):
+            await replace(world, number, 0.1, **LAST)
+        job = await world.run_job("array", 3, run_s=60.0)
+        world.crash(2)
+        for number in range(2):
+            await replace(world, number)
+        await curio.sleep(30)
+        assert world.level() == 0 and "c2 is never seen" in await waits(world)
+        for number in range(2):
+            await replace(world, number, without=2)
+        await world.until(lambda: world.level() == 1, limit=12)
+        await world.until_done(job)
+
+    world = World().play(monkeypatch, story)
+    assert all(count == 1 for count in world.starts.values())
+
+
 def test_a_damaged_or_foreign_record_is_named_and_nobody_leads_by_it(
     monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
