Rereading: a planned move checked against its level; the seat read in one place

Fault: the check that the level has not moved since a move was planned compared the level read with itself, since looking had taken it up before. A move of our own that is applied late could so be followed by one planned on the level before it.

The rest behaves as before: members, fence and version of the level follow from what was read (one class, two fields, `token_of`, `same_level`, `value` and `Zones.zones` gone); errands read the leader by the seat's own rule; one TOUCH and one FRESH for controllers; records of other layouts are counted only while the next step needs them, signs of zones gathered only when a look is due.

--- a/micadeal/controller/dispatcher.py
+++ b/micadeal/controller/dispatcher.py
@@ -71,8 +71,9 @@
 PASS_EVERY = timedelta(milliseconds=100)
 #: Past this a pass comes before the messages that wait: else a flood would stop all placing.
 PASS_PATIENCE = seconds(1)
-#: A machine is silent after so many report intervals.
-SILENT_REPORTS = 2
+#: For what is known of zones a machine is silent after so many report intervals: sooner than it
+#: gets no new work (scheduling/space.py), since one machine alone says nothing here.
+ZONE_SILENT_REPORTS = 2
 #: Direct commands under way at once.
 MOST_DIRECT = 24
 #: Reads of jobs' ends under way at once.
@@ -179,7 +180,8 @@
         if self._loaded and self._power() is Power.FULL:
             if isinstance(message, Tick):
                 self._scheduler.tick(now, leases_count=self._leases_count(now))
-                self._look_at_zones(now)
+                if self._zones.due(now):
+                    self._look_at_zones(now)
                 self._log_effort(now)
                 now = self._spent("clock", now)
             if self._pass_is_due(now):
@@ -205,7 +207,7 @@
             controllers[peer.zone] = min(
                 seen, controllers.get(peer.zone, seen), key=list(Presence).index
             )
-        silence = self._platform.workers.report * SILENT_REPORTS
+        silence = self._platform.workers.report * ZONE_SILENT_REPORTS
         self._zones.look(self._cluster.machines.values(), controllers, silence, now)
 
     def _pass_is_due(self, now: timedelta) -> bool:
--- a/micadeal/controller/errands.py
+++ b/micadeal/controller/errands.py
@@ -16,12 +16,12 @@
 from micadeal.fleet.cloud import Cloud, CloudError, NoCapacity
 from micadeal.http.message import HttpError
 from micadeal.http.network import Network
-from micadeal.rollout.seat import token_of
+from micadeal.rollout.seat import read
 from micadeal.state.service import Conflict, Refused, StateError, StateService, Urgency
 from micadeal.stored.keys import LEADER
 from micadeal.waiting import sleep
 from micadeal.wire.cloud import RentalRequest
-from micadeal.wire.codec import BadMessage, decode, encode
+from micadeal.wire.codec import decode, encode
 from micadeal.wire.state import Condition, Item
 from micadeal.wire.workers import DirectOrders, Report
 
@@ -97,9 +97,11 @@
         while True:
             try:
                 leader = await self._state.get(LEADER, Urgency.LEASE)
-                if leader is None or self._token_of(leader) != self._token:
+                # One that can't be read is nobody's: whoever wrote it, we do not lead by it.
+                seat = read([] if leader is None else [leader], 0)
+                if seat.token != self._token:
                     self._resign()
-                elif leader.version != fence:
+                elif seat.fence != fence:
                     self._moved()
                 return {
                     condition.key: await self._state.get(condition.key, Urgency.PLACEMENT)
@@ -108,14 +110,6 @@
             except StateError:
                 await sleep(seconds(0.3))
 
-    @staticmethod
-    def _token_of(leader: Item) -> int:
-        try:
-            return token_of(leader)
-        except BadMessage:
-            # Nobody's: whoever wrote it, we do not lead by it.
-            return 0
-
     async def rent(self, request: RentalRequest) -> None:
         """Ask until there is a definite answer: the same name never rents twice."""
         names: list[str] | None = None
--- a/micadeal/controller/levels.py
+++ b/micadeal/controller/levels.py
@@ -15,6 +15,7 @@
 
 from micadeal import __version__
 from micadeal.clock import seconds, wall
+from micadeal.controller.standing import TOUCH
 from micadeal.rollout import seat as seats
 from micadeal.rollout.levels import Build, Level
 from micadeal.rollout.membership import Process, Sight, deference, presence
@@ -27,9 +28,6 @@
 
 log = logging.getLogger(__name__)
 
-#: A peer whose last answer of the state service is older than this need not be waited for.
-TOUCH = seconds(3)
-
 
 class Levels:
     def __init__(
--- a/micadeal/controller/mesh.py
+++ b/micadeal/controller/mesh.py
@@ -17,6 +17,7 @@
 from micadeal.http.network import AnyClient, Network
 from micadeal.leadership.term import PeerContact
 from micadeal.operator.platform import Peer
+from micadeal.rollout.membership import FRESH
 from micadeal.waiting import sleep
 from micadeal.wire.codec import BadMessage, decode, encode
 from micadeal.wire.mesh import Notice, Ping, Pong, Relay, Relayed
@@ -28,8 +29,6 @@
 
 PING_EVERY = timedelta(seconds=1)
 PING_TIME = timedelta(milliseconds=900)
-#: A peer heard within this time is taken to be reachable.
-FRESH = timedelta(seconds=2.5)
 #: Direct, and over a third controller: together well within a worker's 4 s.
 RELAY_TIME = timedelta(seconds=1.4)
 NOTICE_TIME = timedelta(seconds=1)
--- a/micadeal/controller/raising.py
+++ b/micadeal/controller/raising.py
@@ -14,7 +14,7 @@
 from micadeal.controller.messages import LevelMoved, StockTold, StockWanted
 from micadeal.leadership.election import read_seat
 from micadeal.leadership.term import Term
-from micadeal.rollout.seat import Seat, moving, same_level
+from micadeal.rollout.seat import Seat, moving
 from micadeal.rollout.steps import confirm
 from micadeal.state.service import Conflict, LeaseGone, StateError, StateService, Urgency
 from micadeal.stored.keys import LEVEL
@@ -72,6 +72,7 @@
         return seat
 
     async def _step(self) -> None:
+        planned_on = self._levels.record
         told: StockTold = await self._ask(StockWanted(), ASK_TIME)
         found = self._levels.plan(told.ceiling, told.stock, steady())
         if found.move is None:
@@ -81,7 +82,8 @@
             # It may be a later version's: not to be written over by what we believe.
             self._levels.waiting_for([f"the record {LEVEL} can't be read"])
             return
-        if seat.token != self._term.token or not same_level(seat.level, self._levels.record):
+        if seat.token != self._term.token or seat.level != planned_on:
+            # A move of ours was applied late: what was planned is of another level.
             return
         names: list[str] = []
         if found.raises:
--- a/micadeal/controller/records.py
+++ b/micadeal/controller/records.py
@@ -182,7 +182,9 @@
         return bool(waiting or self._placing or self._lazying or self._ending)
 
     def stock(self) -> Stock:
-        """Records in layouts other than those written now."""
+        """Records in layouts other than those written now, as far as the next step needs them."""
+        if self._level.level == self._level.oldest:
+            return Stock()
         keys = [key for key in self.versions if key.startswith((DONE, FINISHED, OLD_PLACED))]
         small = sum(key.startswith(FINISHED) for key in keys)
         if self._writes >= Level.FENCED:
--- a/micadeal/rollout/seat.py
+++ b/micadeal/rollout/seat.py
@@ -21,8 +21,6 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
-import msgspec
-
 from micadeal.rollout.levels import Build, Level, sensible
 from micadeal.rollout.membership import Process
 from micadeal.stored.keys import HELD, LEADER, LEVEL, MEMBER
@@ -39,32 +37,27 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Member:
-    record: MemberRecord
-    version: int
-
-    @property
-    def process(self) -> Process:
-        build = Build(self.record.build, self.record.lowest, self.record.highest)
-        return Process(self.record.process, build)
-
-
 @dataclass(frozen=True, slots=True)
 class Seat:
     revision: int
     leader: LeaderRecord | None = None
-    #: The version of ``leader``; 0: there is none.
-    fence: int = 0
     held: HeldRecord | None = None
     level: LevelRecord = field(default_factory=LevelRecord)
-    level_version: int = 0
-    members: Mapping[str, Member] = field(default_factory=dict)
+    members: Mapping[str, Process] = field(default_factory=dict)
     #: Versions of all keys, readable or not.
     versions: Mapping[str, int] = field(default_factory=dict)
     #: Keys whose values can't be read, or make no sense.
     damaged: tuple[str, ...] = ()
 
+    def unchanged(self, key: str) -> Condition:
+        """That a key is as it was read; a damaged one, too."""
+        return Condition(key, self.versions.get(key, 0))
+
+    @property
+    def fence(self) -> int:
+        """The version of ``leader``; 0: there is none."""
+        return self.versions.get(LEADER, 0)
+
     @property
     def token(self) -> int:
         """Of the present or last term."""
@@ -89,7 +82,7 @@
 def read(items: Iterable[Item], revision: int) -> Seat:
     """A damaged record is named, not guessed at: nobody leads by a level that can't be read."""
     versions: dict[str, int] = {}
-    members: dict[str, Member] = {}
+    members: dict[str, Process] = {}
     damaged: list[str] = []
     leader: LeaderRecord | None = None
     held: HeldRecord | None = None
@@ -107,31 +100,17 @@
                     raise BadMessage("no such level")
                 level = found
             elif item.key.startswith(MEMBER):
-                record = convert(MemberRecord, item.value)
-                members[item.key.removeprefix(MEMBER)] = Member(record, item.version)
+                found_member = convert(MemberRecord, item.value)
+                build = Build(found_member.build, found_member.lowest, found_member.highest)
+                members[item.key.removeprefix(MEMBER)] = Process(found_member.process, build)
         except BadMessage:
             damaged.append(item.key)
-    return Seat(
-        revision,
-        leader,
-        versions.get(LEADER, 0),
-        held,
-        level,
-        versions.get(LEVEL, 0),
-        members,
-        versions,
-        tuple(damaged),
-    )
-
-
-def token_of(item: Item) -> int:
-    """The token of the term that a ``leader`` record speaks of.  Raises ``BadMessage``."""
-    return convert(LeaderRecord, item.value).term or item.version
+    return Seat(revision, leader, held, level, members, versions, tuple(damaged))
 
 
 def registered(seat: Seat, name: str, process: Process) -> bool:
     member = seat.members.get(name)
-    return member is not None and member.record.process == process.id
+    return member is not None and member.id == process.id
 
 
 def registration(
@@ -142,7 +121,7 @@
     key = MEMBER + name
     build = process.build
     record = MemberRecord(process.id, build.name, build.lowest, build.highest, started_at)
-    return [Condition(key, seat.versions.get(key, 0))], [Put(key, record)]
+    return [seat.unchanged(key)], [Put(key, record)]
 
 
 def refusal(seat: Seat, name: str, process: Process) -> str | None:
@@ -161,12 +140,7 @@
 ) -> tuple[list[Condition], list[Put | Drop]]:
     """Takes an empty seat.  Depends on the level and on our own member record, so that neither a
     raise nor a later process of ours can come in between."""
-    member = seat.members[name]
-    conditions = [
-        Condition(LEADER, seat.fence),
-        Condition(LEVEL, seat.level_version),
-        Condition(MEMBER + name, member.version),
-    ]
+    conditions = [seat.unchanged(key) for key in (LEADER, LEVEL, MEMBER + name)]
     if not seat.fenced:
         return conditions, [Put(LEADER, LeaderRecord(name, lease), lease)]
     conditions.append(Condition(HELD, 0))
@@ -183,8 +157,8 @@
 
     ``depends_on``: names of controllers whose member records must be as they were read.
     """
-    conditions = [Condition(LEADER, seat.fence), Condition(LEVEL, seat.level_version)]
-    conditions += [Condition(MEMBER + who, seat.members[who].version) for who in depends_on]
+    members = (MEMBER + who for who in depends_on)
+    conditions = [seat.unchanged(key) for key in (LEADER, LEVEL, *members)]
     leader = LeaderRecord(name, lease, token)
     changes: list[Put | Drop] = [Put(LEVEL, to)]
     if to.level >= Level.FENCED:
@@ -194,14 +168,3 @@
         if HELD in seat.versions:
             changes.append(Drop(HELD))
     return conditions, changes
-
-
-def same_level(one: LevelRecord, other: LevelRecord) -> bool:
-    """Whether both say the same of what is in force; how it came to be may differ."""
-    parts = ("level", "writes", "oldest")
-    return all(getattr(one, part) == getattr(other, part) for part in parts)
-
-
-def value(record: msgspec.Struct) -> object:
-    """A record as the state service gives it back."""
-    return msgspec.to_builtins(record)
--- a/micadeal/rollout/steps.py
+++ b/micadeal/rollout/steps.py
@@ -147,8 +147,8 @@
         member = seat.members.get(who)
         if MEMBER + who in seat.damaged:
             against.append(f"the record {MEMBER + who} can't be read: restart {who} to mend it")
-        elif member is None or process is None or member.process != process:
+        elif member is None or process is None or member != process:
             against.append(f"{who}'s recorded process is not the one that answers")
-        elif process.build.refusal(found.move) is not None:
-            against.append(f"{who}: {process.build.refusal(found.move)}")
+        elif (refused := process.build.refusal(found.move)) is not None:
+            against.append(f"{who}: {refused}")
     return against
--- a/micadeal/zones/watch.py
+++ b/micadeal/zones/watch.py
@@ -26,6 +26,9 @@
         self._began = began
         self._due = began
 
+    def due(self, now: timedelta) -> bool:
+        return now >= self._due
+
     def look(
         self,
         machines: Iterable[Machine],
@@ -35,8 +38,6 @@
     ) -> None:
         """``controllers``: by zone, that of the best seen one in it, without the leader;
         ``silence``: a machine that has not been heard of for longer is silent."""
-        if now < self._due:
-            return
         self._due = now + LOOK_EVERY
         signs = self._signs(machines, controllers, silence, now)
         outside = [s for name, s in signs.items() if name != self._own]
@@ -73,9 +74,6 @@
             for name, (known, silent, ended) in counts.items()
         }
 
-    def zones(self) -> list[Zone]:
-        return list(self._zones.values())
-
     def notes(self, now: timedelta) -> list[str]:
         """For the overview: zones that are not open, and why."""
         return [
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -5,16 +5,22 @@
 from typing import Any
 
 import curio
+import msgspec
 import pytest
 
 from bench.model_rollout import GUARDS, broken_without, explore, start
 from micadeal.clock import ZERO, seconds
+from micadeal.controller.levels import Levels
+from micadeal.controller.messages import LevelMoved, StockTold
+from micadeal.controller.raising import Raising
 from micadeal.http.message import Answer, Request
+from micadeal.leadership.term import Term
 from micadeal.rollout import seat as seats
 from micadeal.rollout.levels import Build
 from micadeal.rollout.membership import DEFERENCE, Presence, Process, Sight, deference, presence
 from micadeal.rollout.steps import SETTLE, Stock, plan
-from micadeal.wire.state import Item, LevelRecord
+from micadeal.wire.state import Item, LeaderRecord, LevelRecord
+from tests.fakes.kernel import run_stepped
 from tests.fakes.network import HOLD
 from tests.fakes.world import World
 
@@ -582,11 +588,49 @@
     assert "writes no level below 1" in step(there, 0, y=seen(new, late)).waits[0]
 
 
+def test_a_move_is_not_made_on_a_level_that_has_moved_since_it_was_planned(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards what is stored: a move of our own whose outcome was unknown may be applied late."""
+    level = LevelRecord(1, 1, 0)
+    levels = Levels("c0", [], NOW)
+    levels.seen(seats.Seat(4, LeaderRecord("c0", 1), level=level, versions={"leader": 4}))
+    moved = seats.Seat(
+        9, LeaderRecord("c0", 1, 4), level=LevelRecord(1, 0, 0), versions={"leader": 9}
+    )
+    committed: list[Any] = []
+    told: list[Any] = []
+
+    class State:
+        async def commit(self, *changes: Any) -> int:
+            committed.append(changes)
+            return 10
+
+    async def main() -> None:
+        async def ask(*_: Any) -> StockTold:
+            return StockTold(Stock(), None)
+
+        async def tell(message: Any) -> None:
+            told.append(message)
+
+        async def read_moved(_: Any) -> seats.Seat:
+            return moved
+
+        monkeypatch.setattr("micadeal.controller.raising.read_seat", read_moved)
+        state: Any = State()
+        term = Term(4, 1, NOW, NOW, 4)
+        await Raising(levels, state, term, ask, tell)._step()
+
+    run_stepped(main, monkeypatch)
+    assert told == [LevelMoved(moved.level, 9)]
+    assert committed == []
+
+
 def test_what_is_recorded_is_read_or_named_and_never_guessed() -> None:
     process = Process("p1", Build("b", 0, 1))
     conditions, changes = seats.registration(seats.read([], 0), "c0", process, 5.0)
     assert conditions[0].version == 0
-    member = Item("seat/member/c0", seats.value(changes[0].value), 3)  # type: ignore[union-attr]
+    member = Item("seat/member/c0", msgspec.to_builtins(changes[0].value), 3)  # type: ignore[union-attr]
     seat = seats.read([member], 3)
     assert seats.registered(seat, "c0", process) and not seat.taken
     assert seats.refusal(seat, "c0", process) is None
