--- a/micadeal/cli/main.py
+++ b/micadeal/cli/main.py
@@ -4,6 +4,7 @@
 
 import logging
 import os
+import signal
 import sys
 import tomllib
 from pathlib import Path
@@ -70,7 +71,7 @@
 @click.option("--config", required=True, type=click.Path(path_type=Path), help="Settings (TOML).")
 @options_option
 def serve(config: Path, options: Path | None) -> None:
-    """Run one controller until it is killed."""
+    """Run one controller until it is killed; told to end (TERM), it hands over first."""
     _set_up_logging()
     platform = _platform(config)
     switched = _options(options)
@@ -78,7 +79,10 @@
 
     from micadeal.controller.node import Node
 
-    curio.run(Node(platform, options=switched).run)
+    node = Node(platform, options=switched)
+    ended: list[int] = []
+    signal.signal(signal.SIGTERM, lambda number, _: ended.append(number))
+    curio.run(node.serve, lambda: bool(ended))
 
 
 def _platform(path: Path) -> Any:
@@ -226,12 +230,12 @@
     """Operators' settings: a Starlark script."""
 
 
-def _evaluate(file: Path) -> tuple[str, dict[str, Any]]:
+def _evaluate(file: Path) -> tuple[str, dict[str, Any], int | None]:
     from micadeal.operator.script import BadScript, evaluate
 
     try:
         script = file.read_bytes().decode()
-        return script, evaluate(script, str(file))
+        return script, *evaluate(script, str(file))
     except (OSError, UnicodeDecodeError, BadScript) as problem:
         _fail(str(problem), MISUSED)
 
@@ -251,8 +255,9 @@
     """Check FILE and have the leader take it up."""
     from micadeal.wire.codec import encode
 
-    script, values = _evaluate(file)
-    _checked(controller, "POST", "/settings", encode({"script": script, "values": values}))
+    script, values, level = _evaluate(file)
+    sent = {"script": script, "values": values, "highest_level": level}
+    _checked(controller, "POST", "/settings", encode(sent))
     click.echo("applied")
 
 
--- a/micadeal/cli/show.py
+++ b/micadeal/cli/show.py
@@ -29,6 +29,25 @@
     ]
 
 
+def _level(level: dict[str, Any]) -> list[str]:
+    since = f" for {level['since_s']:.0f} s" if level["since_s"] else ""
+    by = f", set by {level['by']}" if level["by"] else ""
+    lines = [f"level {level['level']} is in force{since}{by}"]
+    if level["writes"] < level["level"]:
+        lines[0] += f"; it is being lowered to {level['writes']}"
+    if level["oldest"] < level["writes"]:
+        lines[0] += f"; records of level {level['oldest']} may still be stored"
+    lines += [f"  waits: {wait}" for wait in level["waits"]]
+    lines += _table(
+        ["controller", "levels", "build", "seen"],
+        [
+            [m["name"], f"{m['lowest']}-{m['highest']}", m["build"], m["presence"]]
+            for m in level["members"]
+        ],
+    )
+    return lines
+
+
 def show_overview(answer: dict[str, Any]) -> str:
     touch = "in touch with" if answer["state_contact"] else "WITHOUT TOUCH WITH"
     jobs = answer["jobs"]
@@ -70,6 +89,8 @@
             for m in answer["machines"]
         ],
     )
+    if answer.get("level") is not None:
+        lines += ["", *_level(answer["level"])]
     if answer["stuck"]:
         lines += ["", "stuck jobs:"]
         lines += [
--- a/micadeal/controller/dispatcher.py
+++ b/micadeal/controller/dispatcher.py
@@ -37,6 +37,7 @@
     RentalAnswer,
     Reply,
     ReportIn,
+    Retire,
     StockTold,
     StockWanted,
     Tick,
@@ -109,6 +110,7 @@
         self._effort = Effort(now)
         self._pass_due = ZERO
         self._loaded = False
+        self._retiring = False
         self._releasing = False
         self._renting: set[str] = set()
         self._in_direct: set[str] = set()
@@ -191,7 +193,7 @@
 
     def _pass_is_due(self, now: timedelta) -> bool:
         """Reports that wait are taken in before a pass, but not for ever."""
-        if now < self._pass_due or not self._scheduler.wants_pass(now):
+        if self._retiring or now < self._pass_due or not self._scheduler.wants_pass(now):
             return False
         return self._mail.empty() or now >= self._pass_due + PASS_PATIENCE
 
@@ -230,6 +232,9 @@
                 # Until all is read, there may be more.
                 stock = self._recorder.stock() if self._loaded else Stock(older=1, newer=1)
                 return StockTold(stock, self._intake.highest_level)
+            case Retire():
+                self._retiring = True
+                return not self._recorder.busy
             case PeerNews(peers, views, told_by):
                 self._peers = list(peers)
                 self._views = views or ()
--- a/micadeal/controller/messages.py
+++ b/micadeal/controller/messages.py
@@ -157,6 +157,11 @@
     pass
 
 
+@dataclass(frozen=True, slots=True)
+class Retire:
+    """Start and rent nothing more; answered with whether all that is under way is written."""
+
+
 @dataclass(frozen=True, slots=True)
 class ProgressWanted:
     """For the desks of all controllers; answered with ``Progress``."""
--- a/micadeal/controller/node.py
+++ b/micadeal/controller/node.py
@@ -25,6 +25,7 @@
     ProgressWanted,
     Reply,
     ReportIn,
+    Retire,
     WhyWanted,
 )
 from micadeal.controller.standing import TOUCH, Standing
@@ -43,7 +44,7 @@
 from micadeal.leadership.standin import Timing
 from micadeal.operator.options import Options
 from micadeal.operator.platform import Platform
-from micadeal.operator.script import policy_from_values
+from micadeal.operator.script import check_highest_level, policy_from_values
 from micadeal.rollout.levels import Build, Level
 from micadeal.scheduling.cluster import lease_over
 from micadeal.state.service import Refused, StateError, StateService, Urgency
@@ -70,6 +71,10 @@
 HOLD_TIME = seconds(2)
 HOLD_SHARE = 1 / 7
 HOLD_LOOK = seconds(0.2)
+#: How often a process looks whether it is asked to end, and how long it then writes what is under
+#: way, and waits for the seat to be left.
+END_LOOK = seconds(0.2)
+END_TIME = seconds(2)
 #: Reports held at once; more are refused, as all are where no election can succeed.
 MOST_HELD = 1000
 
@@ -121,6 +126,7 @@
         self._leader_token = 0
         #: Cancellations that the leader's actor had no room for.
         self._to_pass_on: list[str] = []
+        self._retiring = False
         #: Reports that are held until a leader is known.
         self._held = 0
 
@@ -138,6 +144,30 @@
             ):
                 await group.spawn(keep_running, name, work)
 
+    async def serve(self, asked_to_end: Callable[[], bool]) -> None:
+        """Run until we are asked to end, then hand over."""
+        await curio.spawn(self.run, daemon=True)
+        while not asked_to_end():
+            await sleep(END_LOOK)
+        await self.retire()
+
+    async def retire(self) -> None:
+        """Take no more work, write what is under way, leave the seat: the next one leads at
+        once."""
+        log.info("this process ends")
+        self._retiring = True
+        until = steady() + END_TIME
+        while self._dispatcher is not None and steady() < until:
+            try:
+                if await self._dispatcher.ask(Retire(), ASK_TIME):
+                    break
+            except (Overloaded, TimeoutError):
+                pass
+            await sleep(END_LOOK)
+        self._election.retire()
+        while self._dispatcher is not None and steady() < until + END_TIME:
+            await sleep(END_LOOK)
+
     async def _run_mesh(self) -> None:
         await self._mesh.run(self._on_pong)
 
@@ -300,7 +330,7 @@
 
     def _misfit(self) -> Answer | None:
         """Refuses users where we can't read, or must not write, what is stored."""
-        why = self._levels.refusal
+        why = "this process ends" if self._retiring else self._levels.refusal
         return None if why is None else error(503, why, RETRY)
 
     async def _ready(self, _: Request) -> Answer:
@@ -310,8 +340,8 @@
         """
         if not self._desk.types:
             return error(503, "the machine types are not known yet")
-        if self._levels.misfit is not None:
-            return error(503, self._levels.misfit)
+        if self._retiring or self._levels.misfit is not None:
+            return error(503, self._levels.misfit or "this process ends")
         contact = self._state.answered
         now = steady()
         if contact is not None and now - contact < CONTACT_TIME:
@@ -434,10 +464,9 @@
         try:
             sent = decode(SettingsRecord, request.body)
             policy_from_values(sent.values)
+            check_highest_level(sent.highest_level)
         except ValueError as problem:
             return error(400, str(problem))
-        if sent.highest_level is not None and sent.highest_level < 0:
-            return error(400, "highest_level must be 0 or more")
         record = SettingsRecord(sent.script, wall().timestamp(), sent.values, sent.highest_level)
         if not self._state.present.fits(record):
             return error(400, "the script is too large for the state service")
--- a/micadeal/controller/records.py
+++ b/micadeal/controller/records.py
@@ -171,6 +171,12 @@
             self._carried.clear()
         self._level = level
 
+    @property
+    def busy(self) -> bool:
+        """Whether anything of what has happened is not written yet."""
+        waiting = self._cluster.unwritten or self._cluster.finished_dirty
+        return bool(waiting or self._placing or self._lazying or self._ending)
+
     def stock(self) -> Stock:
         """Records in layouts other than those written now."""
         keys = [key for key in self.versions if key.startswith((DONE, FINISHED, OLD_PLACED))]
--- a/micadeal/leadership/election.py
+++ b/micadeal/leadership/election.py
@@ -30,6 +30,8 @@
 #: still fit into it, so that one slow answer of the state service costs nothing.
 LEASE_TIME = timedelta(seconds=3)
 RENEW_EVERY = timedelta(milliseconds=700)
+#: How soon a leader that is told to stand down does so.
+RESIGN_LOOK = timedelta(milliseconds=100)
 WATCH_HOLD = timedelta(seconds=2)
 
 
@@ -181,7 +183,8 @@
         """Renew until the lease is gone; an outage alone does not end the term."""
         due = steady() + RENEW_EVERY
         while True:
-            await sleep(due - steady())
+            while self._resigned is None and steady() < due:
+                await sleep(min(due - steady(), RESIGN_LOOK))
             if self._resigned is not None:
                 try:
                     await self._state.end_lease(term.lease)
--- a/micadeal/operator/script.py
+++ b/micadeal/operator/script.py
@@ -28,6 +28,9 @@
 flexible = {
     "nightly-build": {"slack": 0.8, "money": 1.0, "carbon": 0.0},
 }
+
+# Holds the level of the stored state, or lowers it before an earlier version is started:
+# highest_level = 1
 """
 
 
@@ -102,8 +105,22 @@
     )
 
 
-def evaluate(script: str, name: str) -> dict[str, Any]:
-    """The values that a script sets, checked.  Raises ``BadScript``."""
+HIGHEST_LEVEL = "highest_level"
+
+
+def check_highest_level(value: Any) -> int | None:
+    """Raises ``BadScript``.  None: not held."""
+    if value is not None and (type(value) is not int or not 0 <= value < 1000):
+        raise BadScript(f"{HIGHEST_LEVEL} must be a whole number from 0 on, not {value!r}")
+    return value
+
+
+def evaluate(script: str, name: str) -> tuple[dict[str, Any], int | None]:
+    """The values that a script sets, checked, and the highest level that it allows.
+
+    The level is none of the values: versions that know of no levels refuse values that they do not
+    know, and would take none of the others up.  Raises ``BadScript``.
+    """
     import starlark  # only the command line evaluates scripts: controllers start without it
 
     module = starlark.Module()
@@ -119,10 +136,11 @@
             values[key] = value
     try:
         policy_from_values(values)
+        level = check_highest_level(module[HIGHEST_LEVEL])
     except BadScript as problem:
         line = _line_of(script, str(problem))
         raise BadScript(f"{name}:{line}: {problem}") from None
-    return values
+    return values, level
 
 
 def _line_of(script: str, problem: str) -> int:
