Boots judged by those that overtook them; mistakes told from faulty machines; no outcome dropped

Need: machines that come up late or never held work for three boot times; two jobs with a mistake on one machine had it emptied; a full mailbox ended a feed or an errand of the leader for good, so that jobs submitted after it were never seen.

--- a/micadeal/actor.py
+++ b/micadeal/actor.py
@@ -42,6 +42,15 @@
     async def tell(self, message: Any) -> None:
         await self._post(_Letter(message, wants_answer=False))
 
+    async def told_by_own(self, message: Any) -> None:
+        """From a task that the actor itself has started: never refused.
+
+        Guards against work that stands still for ever after a moment's flood: an outcome that was
+        dropped is waited for to no end, and a feed that ended on a full mailbox never came back.
+        There are as many of these as tasks under way, not as many as others care to send.
+        """
+        await self._mail.put(_Letter(message, wants_answer=False))
+
     async def ask(self, message: Any, timeout: timedelta) -> Any:
         letter = _Letter(message, wants_answer=True)
         await self._post(letter)
--- a/micadeal/controller/dispatcher.py
+++ b/micadeal/controller/dispatcher.py
@@ -8,7 +8,7 @@
 from datetime import timedelta
 from typing import Any
 
-from micadeal.actor import Actor
+from micadeal.actor import Actor, Overloaded
 from micadeal.clock import ZERO, seconds, steady
 from micadeal.controller.effort import Effort
 from micadeal.controller.errands import Errands
@@ -127,14 +127,14 @@
         self._helpers = Helpers()
         self._intake = Intake(self._scheduler, self._recorder)
         self._zones = Zones(platform.zones, platform.zone, now)
-        self._raising = Raising(levels, state, term, self.ask, self.tell)
-        self._feeds = Feeds(state, cloud, self.tell, self._helpers, levels.record.oldest)
+        self._raising = Raising(levels, state, term, self.ask, self.told_by_own)
+        self._feeds = Feeds(state, cloud, self.told_by_own, self._helpers, levels.record.oldest)
         self._errands = Errands(
             term.token,
             state,
             cloud,
             network,
-            self.tell,
+            self.told_by_own,
             resign,
             self._raising.look_again,
             lambda: self._power() is Power.FULL,
@@ -163,7 +163,10 @@
     async def _ticks(self) -> None:
         while True:
             await sleep(TICK)
-            await self.tell(Tick())
+            try:
+                await self.tell(Tick())
+            except Overloaded:
+                log.warning("the mailbox is full: the clock is looked at later")
 
     def _power(self) -> Power:
         workers = self._platform.workers
--- a/micadeal/controller/errands.py
+++ b/micadeal/controller/errands.py
@@ -9,7 +9,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from micadeal.actor import Overloaded
 from micadeal.clock import seconds, steady
 from micadeal.controller.messages import DirectAnswer, ReleaseAnswer, RentalAnswer, Written
 from micadeal.controller.records import Changes
@@ -67,13 +66,8 @@
             report = decode(Report, body)
         except (HttpError, ValueError) as problem:
             log.debug("%s could not be commanded: %s", name, problem)
-        while True:
-            try:
-                await self._tell(DirectAnswer(name, report, asked))
-                return
-            except Overloaded:
-                # Guards ``ran_cancelled``: one that is never told of as over is never asked again.
-                await sleep(seconds(0.3))
+        # Guards ``ran_cancelled``: one that is never told of as over is never asked again.
+        await self._tell(DirectAnswer(name, report, asked))
 
     async def write(self, changes: Changes, fence: int) -> None:
         """Write a batch; every change depends on our still being the leader, and on the version
--- a/micadeal/controller/helpers.py
+++ b/micadeal/controller/helpers.py
@@ -9,7 +9,6 @@
 
 import curio
 
-from micadeal.actor import Overloaded
 from micadeal.clock import seconds
 from micadeal.fleet.cloud import CloudError
 from micadeal.waiting import sleep
@@ -29,7 +28,7 @@
         async def tracked() -> None:
             try:
                 await work(*args)
-            except (curio.CancelledError, Overloaded):
+            except curio.CancelledError:
                 pass
             except Exception:
                 log.exception("a task of the leader failed")
--- a/micadeal/controller/intake.py
+++ b/micadeal/controller/intake.py
@@ -19,7 +19,7 @@
 from micadeal.stored.descriptions import part_keys, whole
 from micadeal.stored.keys import DONE, FINISHED, JOBS
 from micadeal.stored.reading import Stored
-from micadeal.wire.codec import BadMessage, convert
+from micadeal.wire.codec import convert
 from micadeal.wire.state import (
     Event,
     FinishedRecord,
@@ -77,10 +77,11 @@
         try:
             keys = part_keys(item.value, job_id)
             record = whole(item.value, [parts[key].value for key in keys if key in parts])
-        except BadMessage as problem:
+            job = Job(record.submission, steady_at(record.submitted_at, now), item.version)
+        except (ValueError, OverflowError) as problem:
+            # Numbers that are none as well: one such record must not keep all others from a leader.
             log.error("unreadable record %s: %s", item.key, problem)
             return
-        job = Job(record.submission, steady_at(record.submitted_at, now), item.version)
         for key in keys:
             # All of a description is written in one transaction.
             self._recorder.versions[key] = item.version
--- a/micadeal/fleet/model.py
+++ b/micadeal/fleet/model.py
@@ -107,6 +107,8 @@
     idle_since: timedelta | None = None
     #: Jobs that failed on it since something last succeeded on it.
     errors: set[str] = field(default_factory=set)
+    #: We know when its boot began: we rented it, or the cloud's list had it as booting.
+    boot_seen: bool = False
     listed_failed: bool = False
     #: The cloud says that it has booted, whether or not we have heard of it.
     listed_running: bool = False
--- a/micadeal/jobs/model.py
+++ b/micadeal/jobs/model.py
@@ -122,6 +122,19 @@
     def can_save(self) -> bool:
         return self.spec.checkpoint_s > 0
 
+    @property
+    def suspect(self) -> bool:
+        """It failed on several machines and has never got anywhere since: most likely its own
+        mistake, which says nothing of the machines."""
+        return len(self.errors) > 1
+
+    def runs_apart(self, machine: str, since: timedelta) -> bool:
+        """Whether a task of it runs on another machine, and has run there since then."""
+        return any(
+            a.machine != machine and a.running_since is not None and a.running_since <= since
+            for a in self.all_attempts()
+        )
+
     def waiting_count(self) -> int:
         """Tasks that wait for room; none as long as the job waits for others."""
         return 0 if self.over or self.blocked else self.left_count()
--- a/micadeal/scheduling/answers.py
+++ b/micadeal/scheduling/answers.py
@@ -62,6 +62,8 @@
     if job.errors:
         failures = sum(job.errors.values())
         text = f"it failed {failures} times on {len(job.errors)} machines"
+        if job.suspect:
+            text += ", most likely by its own mistake"
         if job.retry_at > now:
             text += f"; next try in {(job.retry_at - now).total_seconds():.0f} s"
         lines.append((text, 0))
@@ -218,11 +220,26 @@
         notes.append(f"the cloud refused {offer.machine_type} ({kind}) in {offer.zone} lately")
     faulty: list[str] = []
     taken: list[str] = []
+    deaf: list[str] = []
+    late: list[str] = []
+    boots, types = scheduler.cluster.boots, scheduler.cluster.types
     for machine in scheduler.cluster.machines.values():
         if machine.leaving == "faulty":
             faulty.append(machine.name)
         elif machine.notice_end is not None:
             taken.append(machine.name)
+        elif machine.contact.deaf:
+            deaf.append(machine.name)
+        elif (
+            not machine.up
+            and (rig := types.get(machine.machine_type)) is not None
+            and boots.late(machine, seconds(rig.boot_s), now)
+        ):
+            late.append(machine.name)
+    if deaf:
+        notes.append(f"report, but don't hear us, and get nothing new: {_named(deaf)}")
+    if late:
+        notes.append(f"boot for much longer than others did: {_named(late)}")
     if faulty:
         notes.append(f"failed tasks of several jobs and are being emptied: {_named(faulty)}")
     if taken:
--- a/micadeal/scheduling/cluster.py
+++ b/micadeal/scheduling/cluster.py
@@ -14,6 +14,7 @@
 from datetime import timedelta
 
 from micadeal.clock import DRIFT, ZERO, seconds, steady_at
+from micadeal.fleet.boots import Boots
 from micadeal.fleet.contact import ANSWERED_SHARE
 from micadeal.fleet.model import Attempt, Machine
 from micadeal.fleet.offers import Offer
@@ -90,6 +91,8 @@
     changed: bool = True
     #: Names of machines that are certainly gone: a late report or list brings none back.
     gone: dict[str, timedelta] = field(default_factory=dict)
+    #: What boots took lately.
+    boots: Boots = field(default_factory=Boots)
     #: Sums over finished attempts, for the overview and the tests.
     events: Counter[str] = field(default_factory=Counter)
     #: Where timing is switched on: class of each task that ended, and the time that it took as a
@@ -284,6 +287,8 @@
         if machine.up_since is None:
             machine.up_since = now
             machine.idle_since = now
+            if machine.boot_seen:
+                self.boots.up(machine, now)
             self.changed = True
         self._effects(machine, report, now, checkin)
         if report.session > machine.session:
--- a/micadeal/scheduling/passes.py
+++ b/micadeal/scheduling/passes.py
@@ -45,6 +45,9 @@
 #: Room that is kept is not tied to other tasks of a job.
 NO_ZONES: Counter[str] = Counter()
 COMES_FREE = "room is likely to come free before a machine could be rented"
+OWN_MISTAKE = "no machine is rented for it: it fails on every one, most likely by its own mistake"
+#: After errors on more machines than this a job is tried on them again.
+MOST_TRIED = 3
 WAITS_FOR_IMAGE = "waits a little for a machine that holds its image"
 #: New machines wished for in one pass, however much waits.
 MOST_WISHES = 200
@@ -261,8 +264,11 @@
         self.total[job.spec.team] = (cpus + tasks * job.spec.cpus, gpus + tasks * job.spec.gpus)
 
     def _open_rooms(self, job: Job) -> list[Room]:
-        """Rooms for this job: not where it failed, as long as there are others."""
-        if not job.errors or all(room.name in job.errors for room in self.rooms):
+        """Rooms for this job: not where it failed, as long as there are others.  One that fails
+        everywhere is tried again where its image is, instead of having it fetched over and over."""
+        if len(job.errors) > MOST_TRIED or not job.errors:
+            return self.open
+        if all(room.name in job.errors for room in self.rooms):
             return self.open
         return [room for room in self.open if room.name not in job.errors]
 
@@ -308,7 +314,7 @@
         if reason := self._limit_reason(job, 1):
             job.reasons[reason] += waiting
             return 0.0
-        if len(job.errors) > 1 and job.attempts:
+        if job.suspect and job.attempts:
             job.reasons["only one task at a time is tried after errors on several machines"] += (
                 waiting
             )
@@ -318,6 +324,9 @@
         if room is not None and room.up and self._delay.passes(job, waiting, room):
             job.reasons[WAITS_FOR_IMAGE] += waiting
             return 0.0
+        if room is None and len(job.errors) > MOST_TRIED:
+            job.reasons[OWN_MISTAKE] += waiting
+            return 0.0
         if room is None and self._frees_soon(job, waiting):
             job.reasons[COMES_FREE] += waiting
             return 0.0
@@ -412,7 +421,7 @@
             if not job.errors:
                 # A job that failed somewhere looks at fewer rooms: it proves nothing for others.
                 self._nothing[size] = (len(self.rooms), self._shared)
-            wishes = self._gang_wishes(spec)
+            wishes = [] if len(job.errors) > MOST_TRIED else self._gang_wishes(spec)
             found = choose_gang(spec, [*rooms, *wishes], self.spot_scarce) if wishes else None
             for room in wishes:
                 if room.booked:
--- a/micadeal/scheduling/relief.py
+++ b/micadeal/scheduling/relief.py
@@ -112,6 +112,9 @@
             if job.id in seen or (job.is_gang and job.spec.tasks > 1 and job.id not in gathered):
                 continue
             seen.add(job.id)
+            if job.suspect:
+                # Nothing is stopped for what fails everywhere.
+                continue
             count = job.waiting_count()
             units, for_guarantee = lacking[job.spec.team, job.resource]
             if job.production:
--- a/micadeal/scheduling/scheduler.py
+++ b/micadeal/scheduling/scheduler.py
@@ -40,8 +40,6 @@
 #: An idle machine is kept for this share of its type's boot time: to rent it anew costs a boot
 #: and the fetch of its images, and makes work wait for both.
 IDLE_SHARE = 0.5
-#: A machine still booting after so many times its type's boot time is given up.
-BOOT_PATIENCE = 3.0
 #: A silent machine is given back when its lease and this have passed.
 SILENT_PATIENCE = seconds(45)
 #: A machine whose announced end has passed is taken to be gone after so many report intervals.
@@ -56,6 +54,11 @@
 ABSENCE = seconds(3)
 #: How long after taking over renting waits for machines that have not reported yet.
 COUNTING_TIME = seconds(4)
+#: A machine is faulty with so many points: those of a job that failed on it and runs elsewhere, for
+#: so long; of one of which nothing else is known, one.
+FAULTY_POINTS = 3
+SURE_POINTS = 2
+RUNS_FOR = seconds(5)
 #: Beyond the time that a task needs to save: until its end is reported, and the next pass.
 CLEARING_TIME = seconds(6)
 #: When so many of the machines at work have been heard of by a new leader, its log says so.
@@ -200,6 +203,7 @@
             machine.listed = machine.vouched = True
             machine.listed_failed |= entry.status == "failed"
             machine.listed_running |= entry.status == "running"
+            machine.boot_seen |= entry.status == "booting" and not machine.up
         for machine in self.cluster.machines.values():
             if machine.name not in present and machine.listed:
                 machine.missing_lists += 1
@@ -216,6 +220,7 @@
                 machine = self.cluster.machines[name] = Machine(
                     name, "", request.machine_type, request.zone, request.spot, now, now
                 )
+                machine.boot_seen = True
             machine.vouched = True
         if len(names) < request.count:
             self.market.refused(offer, self.cluster.held()[offer], now)
@@ -434,8 +439,7 @@
                 machine.release_asked = now
                 self.releases.add(machine.name)
                 self.cluster.changed = True
-            elif machine.leaving is None and len(machine.errors) > 1:
-                # Errors of several jobs on one machine point to the machine.
+            elif machine.leaving is None and self._faulty(machine, now):
                 machine.leaving = "faulty"
                 self.cluster.changed = True
             # A greeting can be lost, or be refused since the worker has moved to another session:
@@ -452,6 +456,24 @@
         for name in self.cluster.direct:
             self._direct_again[name] = now + seconds(2)
 
+    def _faulty(self, machine: Machine, now: timedelta) -> bool:
+        """Errors of several jobs on one machine point to the machine.
+
+        Guards against machines that are emptied for jobs which were submitted with a mistake: one
+        that fails elsewhere as well says nothing, and one that runs elsewhere more than one of
+        which nothing else is known.
+        """
+        if len(machine.errors) < 2:
+            return False
+        points = 0
+        for job_id in machine.errors:
+            job = self.cluster.jobs.get(job_id)
+            if job is None or job.suspect:
+                continue
+            runs = bool(job.finished) or job.runs_apart(machine.name, now - RUNS_FOR)
+            points += SURE_POINTS if runs else 1
+        return points >= FAULTY_POINTS
+
     def _many_deaf(self, now: timedelta, silence: timedelta) -> bool:
         """Whether it is rather our own answers that are lost on the way, whoever they are for."""
         heard = [
@@ -479,8 +501,9 @@
                 # it is waited for like one that we had heard of.
                 quiet = now - max(self._present_since, machine.known_since)
                 return "it is silent" if quiet > silence + SILENT_PATIENCE else None
-            patience = seconds(kind.boot_s if kind else 60.0) * BOOT_PATIENCE
-            return "it does not boot" if machine.age(now) > patience else None
+            usual = seconds(kind.boot_s if kind else 60.0)
+            given_up = self.cluster.boots.given_up(machine, usual, now)
+            return "it does not boot" if given_up else None
         if machine.heard is not None and self._surely_gone(machine, now - machine.heard, now):
             return "it was taken"
         unknown = now - (machine.up_since or now) > self.cluster.workers.report * UNKNOWN_REPORTS
--- a/micadeal/scheduling/space.py
+++ b/micadeal/scheduling/space.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from datetime import timedelta
 
+from micadeal.clock import seconds
 from micadeal.fleet.model import Machine, MachineShape
 from micadeal.fleet.offers import Offer
 from micadeal.placement.rooms import Room
@@ -26,6 +27,9 @@
         usable = machine.usable(now, silence)
         if not usable and machine.up and (machine.knows_us or _unproven(machine, now, silence)):
             continue
+        if not machine.up and cluster.boots.late(machine, seconds(kind.boot_s), now):
+            # What waits gets room elsewhere; if it comes after all, it is used or returned.
+            continue
         rooms.append(_room(cluster, machine, kind, usable, len(rooms)))
     for offer, count in pending.items():
         kind = cluster.types.get(offer.machine_type)
--- a/micadeal/wire/workers.py
+++ b/micadeal/wire/workers.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import math
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
+#: Sessions, sequences, tokens and attempts are counted from zero on.
+Count = Annotated[int, msgspec.Meta(ge=0)]
+
 
 class TaskState(Enum):
     FETCHING = "pulling"
@@ -20,7 +25,7 @@
     rename={"task": "leg", "attempt": "try", "state": "status", "why": "cause"},
 ):
     task: str
-    attempt: int
+    attempt: Count
     # Plain text, so that a state or cause unknown to us does not make the whole report unreadable.
     state: str
     why: str | None = None
@@ -47,12 +52,20 @@
     machine_type: str
     zone: str
     spot: bool
-    session: int
-    sequence: int
-    token: int
+    session: Count
+    sequence: Count
+    token: Count
     notice_s: float | None = None
     tasks: list[TaskReport] = []
 
+    def __post_init__(self) -> None:
+        """The one check of what a worker says, whichever way it comes; msgspec turns the error into
+        its own, so that such a report is refused as a whole and nothing follows from it."""
+        if not self.machine:
+            raise ValueError("a report of no machine")
+        if self.notice_s is not None and not math.isfinite(self.notice_s):
+            raise ValueError(f"recall_s is {self.notice_s}")
+
 
 class Verb(Enum):
     START = "run"
--- a/micadeal/zones/watch.py
+++ b/micadeal/zones/watch.py
@@ -15,6 +15,9 @@
 
 LOOK_EVERY = seconds(0.5)
 
+#: We are that late to look: we stood still, and what was silent meanwhile says nothing.
+ABSENCE = seconds(2)
+
 
 class Zones:
     """Owns the leader's knowledge of zones for one term; no I/O."""
@@ -38,6 +41,9 @@
     ) -> None:
         """``controllers``: by zone, that of the best seen one in it, without the leader;
         ``silence``: a machine that has not been heard of for longer is silent."""
+        if now - self._due > ABSENCE:
+            # Guards against zones that are judged by our own standing still.
+            self._began = now
         self._due = now + LOOK_EVERY
         signs = self._signs(machines, controllers, silence, now)
         outside = [s for name, s in signs.items() if name != self._own]
--- a/tests/fakes/cloud.py
+++ b/tests/fakes/cloud.py
@@ -48,6 +48,8 @@
         self._history: list[tuple[float, list[dict[str, Any]]]] = []
         self._count = 0
         self.never_boot: set[int] = set()
+        #: Boots take so many times as long.
+        self.slow = 1.0
         self.rentals = 0
         self.releases: list[str] = []
 
@@ -124,6 +126,6 @@
             return error(503, "no capacity")
         self.capacity[place] -= count
         self.rentals += count
-        names = [await self.add(*place, up_in=self.boot_s) for _ in range(count)]
+        names = [await self.add(*place, up_in=self.boot_s * self.slow) for _ in range(count)]
         self._answers[wanted["hire"]] = names
         return answer(200, {"hosts": names})
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -342,3 +342,52 @@
     assert contact.deaf
     contact.seen()
     assert not contact.deaf
+
+
+# -- nonsense ------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    "nonsense",
+    [
+        {"host": ""},
+        {"shift": -1},
+        {"tick": -5},
+        {"baton": "x"},
+        {"recall_s": float("nan")},
+        {"recall_s": float("inf")},
+        {"legs": [{"leg": "req-000001/0", "try": -1, "status": "running"}]},
+        {"legs": 7},
+        {"shift": None},
+    ],
+)
+def test_a_report_that_is_none_is_refused_and_costs_nothing(
+    monkeypatch: pytest.MonkeyPatch, nonsense: dict[str, object]
+) -> None:
+    async def story(world: World) -> None:
+        job = await world.run_job("array", 1, run_s=20.0)
+        await world.until(lambda: world.running(job) == 1)
+        worker = _workers_of(world, job)[0]
+        report = worker._report() | nonsense
+        for number in range(3):
+            assert (await world.call(number, "POST", "/checkin", report))[0] == 400
+        await world.until_done(job)
+
+    World().play(monkeypatch, story)
+
+
+def test_states_and_tasks_that_nobody_knows_do_no_harm(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def story(world: World) -> None:
+        job = await world.run_job("array", 1, run_s=20.0)
+        await world.until(lambda: world.running(job) == 1)
+        worker = _workers_of(world, job)[0]
+        odd = [
+            {"leg": "no task", "try": 1, "status": "running"},
+            {"leg": "req-999999/0", "try": 1, "status": "dreaming"},
+        ]
+        report = worker._report()
+        report["legs"] = report["legs"] + odd
+        assert (await world.call(_leader(world), "POST", "/checkin", report))[0] == 200
+        await world.until_done(job)
+
+    World().play(monkeypatch, story)
