A checker of what one machine's messages prove; a question at the same reading proves nothing

`bench/model_contact.py` plays courses of a worker whose messages are late, lost and copied against the real picture. It found that an answer to a question put at the same reading of the clock as the newest message was taken for a worker that began anew.

--- a/micadeal/fleet/contact.py
+++ b/micadeal/fleet/contact.py
@@ -82,8 +82,9 @@
 
     def proves_anew(self, asked: timedelta | None) -> bool:
         """Whether a message that looks older than one taken before proves that its worker began
-        anew: only an answer to a question that was put after that one had come."""
-        return asked is not None and (self.latest is None or asked >= self.latest)
+        anew: only an answer to a question that was put after that one had come.  Not at the same
+        reading of the clock, which moves in steps: the order of the two is not known then."""
+        return asked is not None and (self.latest is None or asked > self.latest)
 
     def may_ask(self, now: timedelta) -> bool:
         return self.asked is None or now - self.asked >= ASK_EVERY
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -8,6 +8,7 @@
 import curio
 import pytest
 
+from bench.model_contact import GUARDS, explore, small_margin, without
 from micadeal.clock import seconds, steady
 from micadeal.fleet.contact import MISSES, MOST_MISSES, Contact
 from micadeal.http.message import Request
@@ -323,6 +324,7 @@
     contact.take(7, seconds(10))
     assert not contact.proves_anew(None)
     assert not contact.proves_anew(seconds(9))
+    assert not contact.proves_anew(seconds(10))
     assert contact.proves_anew(seconds(11))
 
 
@@ -344,6 +346,16 @@
     assert not contact.deaf
 
 
+def test_no_course_of_a_small_world_breaks_the_rule_and_each_guard_is_needed() -> None:
+    with small_margin():
+        _, course = explore(6)
+        assert course is None
+        for guard in GUARDS:
+            with without(guard):
+                _, course = explore(7)
+                assert course is not None, guard
+
+
 # -- nonsense ------------------------------------------------------------------------------
 
 
