--- a/micadeal/jobs/model.py
+++ b/micadeal/jobs/model.py
@@ -122,6 +122,10 @@
     def can_save(self) -> bool:
         return self.spec.checkpoint_s > 0
 
+    @property
+    def unbegun(self) -> bool:
+        return not self.attempts and not self.finished
+
     @property
     def suspect(self) -> bool:
         """It failed on several machines and has never got anywhere since: most likely its own
--- a/micadeal/operator/policy.py
+++ b/micadeal/operator/policy.py
@@ -27,6 +27,11 @@
     carbon: float = 0.0
 
 
+#: A team that has its fair share waits so many times longer for room to be gathered, and so does a
+#: job for its turn by age.
+CONTENT_TIMES = 2.5
+
+
 @dataclass(frozen=True, slots=True)
 class Policy:
     #: How often shares are computed and starvation is looked at (design: 2 s).
@@ -41,6 +46,10 @@
     #: By class of jobs; nothing else is ever held.
     flexible: dict[str, Flexible] = field(default_factory=dict)
 
+    @property
+    def gather_late(self) -> timedelta:
+        return self.gather_after * CONTENT_TIMES
+
     def team(self, name: str) -> TeamPolicy:
         return self.teams.get(name, _DEFAULT)
 
--- a/micadeal/scheduling/gathering.py
+++ b/micadeal/scheduling/gathering.py
@@ -29,8 +29,6 @@
 from micadeal.scheduling.cluster import Cluster
 from micadeal.scheduling.space import SILENT_REPORTS
 
-#: A team that has its fair share already waits so many times longer.
-CONTENT_TIMES = 2.5
 #: Jobs for which room is gathered at once, and the share of all machines that is kept for all but
 #: the first of them.
 MOST_GATHERING = 8
@@ -117,12 +115,11 @@
         result: list[Job] = []
         for job in cluster.live_jobs():
             waited = now - job.ready
-            if waited < policy.gather_after or job.attempts or job.finished or job.errors:
+            if waited < policy.gather_after or not job.unbegun or job.errors:
                 continue
             if job.production or not job.waiting_count() or job.spec.team not in cluster.teams:
                 continue
-            times = CONTENT_TIMES if (job.spec.team, job.resource) in content else 1.0
-            if waited < policy.gather_after * times:
+            if (job.spec.team, job.resource) in content and waited < policy.gather_late:
                 continue
             usage = cluster.usage() if usage is None else usage
             if _within_limits(job, cluster, usage):
--- a/micadeal/scheduling/passes.py
+++ b/micadeal/scheduling/passes.py
@@ -76,8 +76,11 @@
         may_rent: bool,
         pending: Counter[Offer],
         holding: Holding | None = None,
+        by_age: set[str] | None = None,
     ) -> None:
+        """``by_age``: teams whose last start went to a job that had waited long; kept along."""
         self.holding = holding
+        self.by_age = set() if by_age is None else by_age
         self.cluster = cluster
         self.market = market
         self.policy = policy
@@ -231,24 +234,52 @@
         queues: dict[str, list[Job]] = {}
         for job in jobs:
             queues.setdefault(job.spec.team, []).append(job)
-        for queue in queues.values():
+        aged: set[str] = set()
+        for name, queue in queues.items():
+            oldest = self._longest(queue)
             queue.reverse()
+            if oldest is not None:
+                # It is asked once before the others, and again where its place is by the order.
+                queue.append(oldest)
+                aged.add(name)
         while queues:
             name = min(
                 queues,
                 key=lambda n: (*team_key(states[n].used, states[n].minimum, states[n].weight), n),
             )
-            job = queues[name][-1]
-            units = self._gang(job) if job.is_gang else self._task(job)
+            queue = queues[name]
+            job = queue[-1]
+            units = 0.0
+            if self._waiting(job):
+                units = self._gang(job) if job.is_gang else self._task(job)
+            states[name].used += units
+            if name in aged:
+                aged.discard(name)
+                if units:
+                    self.by_age.add(name)
+                queue.pop()
+                continue
             if units:
-                states[name].used += units
+                self.by_age.discard(name)
             if not units or not self._waiting(job):
                 # The job passes (source, 4.2): the next one of the team is asked.
-                queues[name].pop()
+                queue.pop()
                 self._pickers.pop(job.id, None)
-                if not queues[name]:
+                if not queue:
                     del queues[name]
 
+    def _longest(self, queue: list[Job]) -> Job | None:
+        """The job of a team that has waited longest with nothing begun, if it is its turn.
+
+        Guards against single jobs that wait behind one of thousands of tasks until that is done:
+        every other start of a team goes to such a job, so neither keeps the other out.
+        """
+        if queue[0].spec.team in self.by_age:
+            return None
+        patience = self.policy.gather_late
+        waiting = [job for job in queue[1:] if job.unbegun and self.now - job.ready >= patience]
+        return min(waiting, key=lambda job: (job.ready, job.id), default=None)
+
     def _limit_reason(self, job: Job, tasks: int) -> str | None:
         team = self.cluster.teams[job.spec.team]
         cpus, gpus = self.total[team.name]
--- a/micadeal/scheduling/scheduler.py
+++ b/micadeal/scheduling/scheduler.py
@@ -117,6 +117,8 @@
         self.objectives = tuple(objectives)
         self.timers: dict[tuple[str, str], StarvationTimer] = {}
         self.gathering = Gathering()
+        #: Teams whose last start went to a job that had waited long.
+        self._by_age: set[str] = set()
         self.plan = Plan()
         #: Rentals asked for and not answered yet, one for each offer at most.
         self.rentals: dict[Offer, RentalRequest] = {}
@@ -334,6 +336,7 @@
             may_rent=may_rent,
             pending=pending,
             holding=self.holding,
+            by_age=self._by_age,
         ).run()
         self.plan = plan
         plan.held |= self.gathering.kept()
--- a/tests/test_largest.py
+++ b/tests/test_largest.py
@@ -68,6 +68,50 @@
     _world().play(monkeypatch, story)
 
 
+def test_a_gang_that_two_zones_half_fit_waits_for_one_of_them(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A service keeps a machine of each zone: three whole ones are left in none but the third."""
+
+    async def story(world: World) -> None:
+        for zone in ("north", "south"):
+            await world.run_job("daemon", 1, rank="production", crew="blue", depot=zone)
+        await curio.spawn(_small_work, world, ["red", "blue", "grey"], 2.5, daemon=True)
+        await curio.sleep(60)
+        gang: dict[str, Any] = {"accelerators": 2.0, "vcpus": 6.0, "one_zone": True}
+        large = await world.run_job("gang", 3, run_s=30.0, crew="red", **gang)
+        await world.until(lambda: world.running(large) == 3, limit=BEGIN_IN)
+        assert {worker.zone for worker, _ in world.held(large)} == {"west"}
+
+    _world().play(monkeypatch, story)
+
+
+def test_a_guest_without_guarantee_is_served_among_teams_that_want_all(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """One large array of a guest and single jobs behind it begin in time; guarantees are kept."""
+
+    async def story(world: World) -> None:
+        await curio.spawn(_small_work, world, ["red", "blue"], 1.5, daemon=True)
+        await curio.sleep(60)
+        guest = await world.run_job("array", 300, run_s=10.0, crew="grey", rank="low")
+        single = [await world.run_job("array", 1, run_s=5.0, crew="grey", rank="low") for _ in "ab"]
+        begun: set[str] = set()
+
+        def all_begun() -> bool:
+            begun.update(job for job in (guest, *single) if world.running(job))
+            return len(begun) == 3
+
+        await world.until(all_begun, limit=BEGIN_IN)
+        leader = world.leader()
+        assert leader is not None
+        teams = (await world.call(leader, "GET", "/overview"))[1]["teams"]
+        used = {line["name"]: line["used"] for line in teams if line["resource"] == "gpus"}
+        assert used["red"] >= 6 and used["blue"] >= 6
+
+    _world().play(monkeypatch, story)
+
+
 def test_two_largest_gangs_that_gather_at_once_both_begin(monkeypatch: pytest.MonkeyPatch) -> None:
     async def story(world: World) -> None:
         await curio.spawn(_small_work, world, ["red", "blue", "grey"], 2.5, daemon=True)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -48,6 +48,8 @@
         return PlainPicker(self, job)
 
     def _open_rooms(self, job: Job) -> list[Room]:
+        if len(job.errors) > passes.MOST_TRIED:
+            return self.rooms
         return [room for room in self.rooms if room.name not in job.errors] or self.rooms
 
 
