Low work rents spot alone and gives way at once; room gathered sooner where a guarantee lacks

Change: low work that may use spot has no ordinary machine rented or taken alone, unless there is no spot for it or nothing of it has begun for long; it is stopped at once for a team below its guarantee; gangs of such a team have room gathered after the minimum timeout, where low work can be stopped.

--- a/micadeal/scheduling/gathering.py
+++ b/micadeal/scheduling/gathering.py
@@ -28,7 +28,10 @@
 from micadeal.placement.rooms import EPSILON, allowed, fits_into, type_fits
 from micadeal.scheduling.cluster import Cluster
 from micadeal.scheduling.space import SILENT_REPORTS
+from micadeal.sharing.order import RANK
+from micadeal.wire.users import Priority
 
+LOW = RANK[Priority.LOW]
 #: Jobs for which room is gathered at once, and the share of all machines that is kept for all but
 #: the first of them.
 MOST_GATHERING = 8
@@ -74,14 +77,16 @@
         market: Market,
         policy: Policy,
         content: Iterable[tuple[str, str]],
+        short: Iterable[tuple[str, str]],
         scarce: bool,
         now: timedelta,
     ) -> None:
-        """``content``: (team, resource) that has its fair share; ``scarce``: spot is."""
+        """``content``: (team, resource) that has its fair share, ``short``: that lacks its
+        guarantee; ``scarce``: spot is."""
         if self._looked is not None and now - self._looked < LOOK_EVERY:
             return
         self._looked = now
-        waiting = self._waiting(cluster, policy, frozenset(content), now)
+        waiting = self._waiting(cluster, market, policy, frozenset(content), frozenset(short), now)
         found: dict[str, Gathered] = {}
         if waiting:
             places = _Places(cluster, now)
@@ -106,20 +111,30 @@
     def _waiting(
         self,
         cluster: Cluster,
+        market: Market,
         policy: Policy,
         content: frozenset[tuple[str, str]],
+        short: frozenset[tuple[str, str]],
         now: timedelta,
     ) -> list[Job]:
         """Jobs that have waited for long with nothing begun, the longest first."""
         usage: dict[str, tuple[float, float]] | None = None
         result: list[Job] = []
+        soon = min(policy.gather_after, policy.minimum_timeout)
         for job in cluster.live_jobs():
             waited = now - job.ready
-            if waited < policy.gather_after or not job.unbegun or job.errors:
+            if waited < soon or not job.unbegun or job.errors:
+                continue
+            key = (job.spec.team, job.resource)
+            # Room may be cleared for a team that lacks its guarantee, once it is known where.
+            if waited < policy.gather_after and not (job.is_gang and key in short):
                 continue
             if job.production or not job.waiting_count() or job.spec.team not in cluster.teams:
                 continue
-            if (job.spec.team, job.resource) in content and waited < policy.gather_late:
+            if need(job) == 1 and market.most_on_one(job.spec) > 1:
+                # Whatever comes free is of use to it: its turn is all that it waits for.
+                continue
+            if key in content and waited < policy.gather_late:
                 continue
             usage = cluster.usage() if usage is None else usage
             if _within_limits(job, cluster, usage):
@@ -195,6 +210,9 @@
             gpus -= other.spec.gpus
             memory -= other.spec.memory_gb
             left = _left(other, attempt, self._now)
+            if left is not None and other.rank > job.rank and other.rank == LOW:
+                # It gives way at once (scheduling/relief.py).
+                left = min(left, STOPPING_S + other.spec.save_s)
             if left is not None:
                 ending.append((left, other))
         ending.sort(key=lambda entry: entry[0])
--- a/micadeal/scheduling/plan.py
+++ b/micadeal/scheduling/plan.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -63,5 +64,5 @@
     present: Counter[str]
     #: Jobs with tasks that found no room, in the order in which they were asked.
     unplaced: list[Job]
-    #: Every spot offer was refused lately.
-    spot_scarce: bool
+    #: Whether work that may use spot may be alone on an ordinary machine now.
+    ordinary_too: Callable[[Job], bool]
--- a/micadeal/scheduling/relief.py
+++ b/micadeal/scheduling/relief.py
@@ -6,20 +6,37 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import dataclass
 
 from micadeal.fleet.model import Attempt
 from micadeal.jobs.model import Job
 from micadeal.placement.rooms import EPSILON, Room, ZoneRule, allowed, size_of
 from micadeal.scheduling.plan import Findings
 from micadeal.scheduling.space import build_rooms
+from micadeal.sharing.order import RANK
 from micadeal.sharing.shares import booked
 from micadeal.sharing.starvation import StarvationTimer
 from micadeal.sharing.victims import Victim, choose_victims, may_kill
+from micadeal.wire.users import Priority
 
 #: Tasks for which victims are chosen in one pass; the next pass goes on.
 MOST_KILLED_FOR = 24
 
 
+LOW = RANK[Priority.LOW]
+
+
+@dataclass(frozen=True, slots=True)
+class _Need:
+    """A job for which something may be killed, how many tasks of it, and whether to give its team
+    its guarantee."""
+
+    job: Job
+    tasks: int
+    for_guarantee: bool
+    only_low: bool = False
+
+
 class Relief:
     """Reads what the pass has found, and adds to its plan whom to stop."""
 
@@ -33,12 +50,12 @@
             return
         rooms, victims = self._victims()
         kept = self._kept_for_bound()
-        scarce = self._found.spot_scarce
         hopeless: set[tuple[object, ...]] = set()
         left = MOST_KILLED_FOR
-        for job, tasks, for_guarantee, resource in needy:
+        for need in needy:
+            job, tasks, resource = need.job, need.tasks, need.job.resource
             spec = job.spec
-            like = (spec.team, job.rank, for_guarantee, *size_of(spec))
+            like = (spec.team, job.rank, need.for_guarantee, need.only_low, *size_of(spec))
             if like in hopeless:
                 # Nothing could be done for a task like this one, and in a pass room only shrinks.
                 continue
@@ -49,6 +66,7 @@
                 for name, state in states.items()
             }
             rule = ZoneRule(job.spec, self._found.cluster.zones_of(job))
+            scarce = self._found.ordinary_too(job)
             usable = [
                 room
                 for room in rooms.values()
@@ -64,9 +82,7 @@
             for _ in range(tasks):
                 if left <= 0:
                     return
-                chosen = self._victims_for(
-                    job, rule, usable, rooms, victims, for_guarantee, surplus
-                )
+                chosen = self._victims_for(need, rule, usable, rooms, victims, surplus)
                 if chosen is None:
                     if all(map(rule.permits, self._found.present)):
                         hopeless.add(like)
@@ -85,16 +101,18 @@
                 kept |= {attempt.machine for attempt in job.all_attempts() if attempt.stop is None}
         return kept
 
-    def _needy(self, usage: dict[str, tuple[float, float]]) -> list[tuple[Job, int, bool, str]]:
-        """Jobs for which something may be killed, how many tasks, and whether for a guarantee."""
-        result: list[tuple[Job, int, bool, str]] = []
+    def _needy(self, usage: dict[str, tuple[float, float]]) -> list[_Need]:
+        """Jobs for which something may be killed."""
+        result: list[_Need] = []
         lacking: dict[tuple[str, str], tuple[float, bool]] = {}
+        short: dict[tuple[str, str], float] = {}
         for resource, states in self._found.plan.teams.items():
             for name, state in states.items():
                 timer = self._found.timers.setdefault(
                     (name, resource), StarvationTimer(self._found.now, self._found.now)
                 )
                 used = booked(usage[name], resource)
+                short[name, resource] = max(min(state.minimum, state.demand) - used, 0.0)
                 team = self._found.policy.team(name)
                 timer.update(self._found.now, used, state.demand, state.minimum, state.share)
                 lacking[name, resource] = timer.lacks(
@@ -116,13 +134,21 @@
                 # Nothing is stopped for what fails everywhere.
                 continue
             count = job.waiting_count()
-            units, for_guarantee = lacking[job.spec.team, job.resource]
+            key = (job.spec.team, job.resource)
+            units, for_guarantee = lacking[key]
             if job.production:
-                result.append((job, count, for_guarantee, job.resource))
+                result.append(_Need(job, count, for_guarantee))
             elif units >= job.units - EPSILON:
                 tasks = min(count, int(units / job.units + EPSILON))
-                lacking[job.spec.team, job.resource] = (units - tasks * job.units, for_guarantee)
-                result.append((job, tasks, for_guarantee, job.resource))
+                lacking[key] = (units - tasks * job.units, for_guarantee)
+                short[key] -= tasks * job.units
+                result.append(_Need(job, tasks, for_guarantee))
+            elif job.rank < LOW and short[key] >= job.units - EPSILON:
+                # Low work runs in what others leave: it gives way at once to a team below its
+                # guarantee.  The timers are for unfairness that is tolerable (source, 4.5).
+                tasks = min(count, int(short[key] / job.units + EPSILON))
+                short[key] -= tasks * job.units
+                result.append(_Need(job, tasks, False, only_low=True))
         return result
 
     def _victims(self) -> tuple[dict[str, Room], dict[str, list[Victim]]]:
@@ -167,16 +193,15 @@
 
     def _victims_for(
         self,
-        job: Job,
+        need: _Need,
         rule: ZoneRule,
         usable: list[Room],
         rooms: dict[str, Room],
         victims: dict[str, list[Victim]],
-        for_guarantee: bool,
         surplus: dict[str, float],
     ) -> list[Victim] | None:
         """Victims for one task; empty if room is about to be free; None if nothing can be done."""
-        spec = job.spec
+        spec = need.job.spec
         open_rooms = [room for room in usable if rule.permits(room.zone)]
         for room in open_rooms:
             if room.fits(spec):
@@ -187,7 +212,8 @@
             id(victim)
             for offers in victims.values()
             for victim in offers
-            if may_kill(victim, spec.team, job.rank, for_guarantee, surplus)
+            if may_kill(victim, spec.team, need.job.rank, need.for_guarantee, surplus)
+            and (victim.rank == LOW or not need.only_low)
         }
         if not permitted:
             return None
--- a/micadeal/scheduling/scheduler.py
+++ b/micadeal/scheduling/scheduler.py
@@ -365,14 +365,17 @@
 
     def _gather(self, now: timedelta) -> None:
         """Choose the machines that are kept for jobs that have waited for long."""
-        content = [
-            (name, resource)
-            for resource, states in self.plan.teams.items()
-            for name, state in states.items()
-            if state.used + EPSILON >= max(state.share, min(state.minimum, state.demand))
-        ]
+        content: list[tuple[str, str]] = []
+        short: list[tuple[str, str]] = []
+        for resource, states in self.plan.teams.items():
+            for name, state in states.items():
+                due = min(state.minimum, state.demand)
+                if state.used + EPSILON >= max(state.share, due):
+                    content.append((name, resource))
+                elif state.used + EPSILON < due:
+                    short.append((name, resource))
         scarce = self.market.spot_refused(now)
-        self.gathering.look(self.cluster, self.market, self.policy, content, scarce, now)
+        self.gathering.look(self.cluster, self.market, self.policy, content, short, scarce, now)
 
     def _open_cleared(self, now: timedelta) -> None:
         """Machines that were cleared for a job are open to others again once it needs them no more.
