Low work is not kept off ordinary machines; it gives way where room is gathered

Change: that part is taken back; low work is stopped at once also on machines that are kept for a gang.

--- a/micadeal/fleet/offers.py
+++ b/micadeal/fleet/offers.py
@@ -73,15 +73,6 @@
         ]
         return not spots or all(self.paused(offer, now) for offer in spots)
 
-    def has_spot(self, spec: Submission) -> bool:
-        """Whether there is a spot offer that a task may use, refused lately or not."""
-        return any(
-            kind.spot_price is not None
-            and type_fits(spec, kind)
-            and any(allowed(spec, kind.name, zone, spot=True) for zone in kind.zones)
-            for kind in self.types.values()
-        )
-
     def can_ever_fit(self, spec: Submission) -> bool:
         return any(
             type_fits(spec, kind)
--- a/micadeal/scheduling/cluster.py
+++ b/micadeal/scheduling/cluster.py
@@ -350,8 +350,11 @@
         """
         contact = machine.contact
         ours = report.token == self.token
-        shown = {(task.task, task.attempt) for task in report.tasks}
         starts = [a for a in machine.attempts.values() if a.state is None and a.ordered is not None]
+        if not starts and ours and machine.knows_us and report.session == machine.session:
+            # Nothing was asked for that could show.
+            return
+        shown = {(task.task, task.attempt) for task in report.tasks}
         took = any((a.task, a.number) in shown for a in starts)
         if took or (ours and not machine.knows_us):
             contact.seen()
--- a/micadeal/scheduling/gathering.py
+++ b/micadeal/scheduling/gathering.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -31,6 +32,8 @@
 from micadeal.sharing.order import RANK
 from micadeal.wire.users import Priority
 
+log = logging.getLogger(__name__)
+
 LOW = RANK[Priority.LOW]
 #: Jobs for which room is gathered at once, and the share of all machines that is kept for all but
 #: the first of them.
@@ -98,6 +101,15 @@
                     continue
                 found[job.id] = chosen
                 taken |= chosen.machines
+                if job.id not in self.sets:
+                    log.info(
+                        "room is gathered for %s, %d tasks of %s: %d machines in %s",
+                        job.id,
+                        need(job),
+                        job.spec.job_class,
+                        len(chosen.machines),
+                        chosen.zone or "any zone",
+                    )
         self.sets = found
         kept = {name: job_id for job_id, entry in found.items() for name in entry.machines}
         for machine in cluster.machines.values():
--- a/micadeal/scheduling/passes.py
+++ b/micadeal/scheduling/passes.py
@@ -35,7 +35,7 @@
 from micadeal.sharing.shares import Claim, booked, fair_shares
 from micadeal.sharing.starvation import StarvationTimer
 from micadeal.wire.cloud import MachineType
-from micadeal.wire.users import Priority, Submission
+from micadeal.wire.users import Submission
 
 if TYPE_CHECKING:
     # Imported where timing is switched on: others start without it.
@@ -141,7 +141,7 @@
             self.plan,
             self.present,
             self.unplaced,
-            self._ordinary_too,
+            self.spot_scarce,
         )
         Relief(found).pick()
         return self.plan
@@ -313,8 +313,7 @@
         if picker is not None:
             return picker
         spec = job.spec
-        scarce = self._ordinary_too(job)
-        size = (*size_of(spec), scarce)
+        size = size_of(spec)
         first, shared = self._nothing.get(size, (0, self._shared))
         if shared != self._shared and spec.spot_allowed:
             first = 0
@@ -325,32 +324,15 @@
             if room.fits(spec) and allowed(spec, room.machine_type, room.zone, room.spot)
         ]
         self.looked_at += len(self.open) - start
-        if not any(worth_it(spec, room, scarce) for room in fitting):
+        if not any(worth_it(spec, room, self.spot_scarce) for room in fitting):
             self._nothing[size] = (len(self.rooms), self._shared)
             return None
         if job.errors:
             # Which rooms are open to it changes with every room that comes: ranked anew each time.
-            return Picker(spec, self._open_rooms(job), self._rule(job), scarce)
-        picker = self._pickers[job.id] = Picker(spec, fitting, self._rule(job), scarce)
+            return Picker(spec, self._open_rooms(job), self._rule(job), self.spot_scarce)
+        picker = self._pickers[job.id] = Picker(spec, fitting, self._rule(job), self.spot_scarce)
         return picker
 
-    def _ordinary_too(self, job: Job) -> bool:
-        """Whether work that may use spot may be alone on an ordinary machine."""
-        return self.spot_scarce and not self._spot_alone(job)
-
-    def _spot_alone(self, job: Job) -> bool:
-        """Low work runs in what others leave: none is rented for it but spot, unless there is no
-        spot for it at all, or nothing of it has begun for long.
-
-        Else it took every ordinary machine that could be had in a full cloud, at three times the
-        price, and gangs of whole machines had none left to rent.
-        """
-        spec = job.spec
-        if spec.priority is not Priority.LOW or not spec.spot_allowed:
-            return False
-        late = job.unbegun and self.now - job.ready >= self.policy.gather_late
-        return not late and self.market.has_spot(spec)
-
     def _rule(self, job: Job) -> ZoneRule:
         rule = self._rules.get(job.id)
         if rule is None:
@@ -380,7 +362,7 @@
             job.reasons[COMES_FREE] += waiting
             return 0.0
         if room is None:
-            room = self._wish(job.spec, self._rule(job), spot_only=self._spot_alone(job))
+            room = self._wish(job.spec, self._rule(job))
         if room is None:
             job.reasons[self._no_room_reason(job)] += waiting
             self.unplaced.append(job)
@@ -456,12 +438,11 @@
             job.reasons[reason] += spec.tasks
             return 0.0
         rooms = self._open_rooms(job)
-        scarce = self._ordinary_too(job)
-        size = (*size_of(spec), spec.tasks, spec.one_zone, spec.spread, scarce)
+        size = (*size_of(spec), spec.tasks, spec.one_zone, spec.spread)
         found = None
         if job.errors or self._nothing.get(size) != (len(self.rooms), self._shared):
             self.looked_at += len(rooms)
-            found = choose_gang(spec, rooms, scarce)
+            found = choose_gang(spec, rooms, self.spot_scarce)
             if found is not None and self._gang_passes(job, found):
                 for room in found:
                     room.unbook(spec)
@@ -471,8 +452,8 @@
             if not job.errors:
                 # A job that failed somewhere looks at fewer rooms: it proves nothing for others.
                 self._nothing[size] = (len(self.rooms), self._shared)
-            wishes = [] if len(job.errors) > MOST_TRIED else self._gang_wishes(job)
-            found = choose_gang(spec, [*rooms, *wishes], scarce) if wishes else None
+            wishes = [] if len(job.errors) > MOST_TRIED else self._gang_wishes(spec)
+            found = choose_gang(spec, [*rooms, *wishes], self.spot_scarce) if wishes else None
             for room in wishes:
                 if room.booked:
                     self._count_wish(room)
@@ -525,11 +506,12 @@
         self.present[room.zone] += 1
         self.plan.rentals[Offer(room.machine_type, room.zone, room.spot)] += 1
 
-    def _wish(self, spec: Submission, rule: ZoneRule, spot_only: bool) -> Room | None:
+    def _wish(self, spec: Submission, rule: ZoneRule, spare: bool = False) -> Room | None:
         if not self.may_rent or self.wishes >= MOST_WISHES:
             return None
         for offer, kind in self.market.choices(spec, self.now, self.present):
-            if spot_only and not offer.spot:
+            if spare and spec.spot_allowed and not offer.spot:
+                # Spare room for what may use spot is not worth an ordinary machine's price.
                 continue
             if rule.permits(offer.zone):
                 room = self._new_room(offer, kind)
@@ -537,15 +519,14 @@
                 return room
         return None
 
-    def _gang_wishes(self, job: Job) -> list[Room]:
+    def _gang_wishes(self, spec: Submission) -> list[Room]:
         """Rooms that could be rented for a gang, of the cheapest kind open in each zone."""
         if not self.may_rent or self.wishes >= MOST_WISHES:
             return []
-        spec, spot_only = job.spec, self._spot_alone(job)
         seen: set[str] = set()
         wishes: list[Room] = []
         for offer, kind in self.market.choices(spec, self.now, self.present):
-            if offer.zone not in seen and (offer.spot or not spot_only):
+            if offer.zone not in seen:
                 seen.add(offer.zone)
                 count = min(spec.tasks, MOST_WISHES)
                 left = self.market.left(offer, self._held(offer), self.now)
@@ -585,8 +566,7 @@
         for _ in range(work.tasks):
             if heap:
                 room = heap[0][2]
-            # Spare room for what may use spot is not worth an ordinary machine's price.
-            elif (wish := self._wish(spec, ZoneRule(spec), spec.spot_allowed)) is not None:
+            elif (wish := self._wish(spec, ZoneRule(spec), spare=True)) is not None:
                 room = wish
                 heappush(heap, (self._spare_rank(work, room), room.order, room))
             else:
--- a/micadeal/scheduling/plan.py
+++ b/micadeal/scheduling/plan.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -64,5 +63,5 @@
     present: Counter[str]
     #: Jobs with tasks that found no room, in the order in which they were asked.
     unplaced: list[Job]
-    #: Whether work that may use spot may be alone on an ordinary machine now.
-    ordinary_too: Callable[[Job], bool]
+    #: Every spot offer was refused lately.
+    spot_scarce: bool
--- a/micadeal/scheduling/relief.py
+++ b/micadeal/scheduling/relief.py
@@ -24,6 +24,8 @@
 
 
 LOW = RANK[Priority.LOW]
+#: Jobs for which low work is stopped in one pass; the next pass goes on.
+MOST_LOW = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +52,7 @@
             return
         rooms, victims = self._victims()
         kept = self._kept_for_bound()
+        scarce = self._found.spot_scarce
         hopeless: set[tuple[object, ...]] = set()
         left = MOST_KILLED_FOR
         for need in needy:
@@ -66,7 +69,6 @@
                 for name, state in states.items()
             }
             rule = ZoneRule(job.spec, self._found.cluster.zones_of(job))
-            scarce = self._found.ordinary_too(job)
             usable = [
                 room
                 for room in rooms.values()
@@ -125,6 +127,7 @@
                     self._found.policy.share_timeout,
                 )
         seen: set[str] = set()
+        low_left = MOST_LOW if self._low_runs() else 0
         gathered = {m.kept_for for m in self._found.cluster.machines.values()} - {None}
         for job in self._found.unplaced:
             if job.id in seen or (job.is_gang and job.spec.tasks > 1 and job.id not in gathered):
@@ -143,14 +146,21 @@
                 lacking[key] = (units - tasks * job.units, for_guarantee)
                 short[key] -= tasks * job.units
                 result.append(_Need(job, tasks, for_guarantee))
-            elif job.rank < LOW and short[key] >= job.units - EPSILON:
+            elif low_left and job.rank < LOW and (job.id in gathered or short[key] >= job.units):
                 # Low work runs in what others leave: it gives way at once to a team below its
-                # guarantee.  The timers are for unfairness that is tolerable (source, 4.5).
-                tasks = min(count, int(short[key] / job.units + EPSILON))
+                # guarantee, and where room is gathered.  The timers are for unfairness that is
+                # tolerable (source, 4.5).
+                low_left -= 1
+                tasks = count
+                if job.id not in gathered:
+                    tasks = min(count, int(short[key] / job.units + EPSILON))
                 short[key] -= tasks * job.units
                 result.append(_Need(job, tasks, False, only_low=True))
         return result
 
+    def _low_runs(self) -> bool:
+        return any(job.rank == LOW and job.attempts for job in self._found.cluster.live_jobs())
+
     def _victims(self) -> tuple[dict[str, Room], dict[str, list[Victim]]]:
         """Rooms as they will be when all that is stopping has stopped, and what could be killed."""
         found = build_rooms(self._found.cluster, self._found.now, Counter())
--- a/micadeal/scheduling/scheduler.py
+++ b/micadeal/scheduling/scheduler.py
@@ -129,6 +129,7 @@
         #: Since when we look at machines without a gap: what was silent before may be our fault.
         self._present_since = now
         self._ticked: timedelta | None = None
+        #: As of the last look at the machines.
         self._too_many_deaf = False
         self._last_pass: timedelta | None = None
         self._last_line: timedelta | None = None
@@ -434,8 +435,11 @@
 
     def _look_after_machines(self, now: timedelta) -> None:
         silence = self.cluster.lease_over
-        self._too_many_deaf = self._many_deaf(now, silence)
+        heard = deaf = 0
         for machine in list(self.cluster.machines.values()):
+            if machine.heard is not None and now - machine.heard <= silence:
+                heard += 1
+                deaf += machine.contact.deaf
             if machine.release_asked is not None:
                 continue
             reason = self._reason_to_return(machine, now, silence)
@@ -456,11 +460,13 @@
             due = now >= self._direct_again.get(machine.name, ZERO)
             if (ungreeted or stopping) and due:
                 self.cluster.direct.add(machine.name)
-            if machine.contact.deaf and machine.contact.may_ask(now):
+            if machine.contact.missed and machine.contact.deaf and machine.contact.may_ask(now):
                 # Its answer is the proof that it hears us again.
                 self.cluster.asking.add(machine.name)
         for name in self.cluster.direct:
             self._direct_again[name] = now + seconds(2)
+        # With so many it is rather our own answers that are lost on the way, whoever they are for.
+        self._too_many_deaf = deaf >= FEW_DEAF and deaf > heard * MOST_DEAF
 
     def _faulty(self, machine: Machine, now: timedelta) -> bool:
         """Errors of several jobs on one machine point to the machine.
@@ -480,15 +486,6 @@
             points += SURE_POINTS if runs else 1
         return points >= FAULTY_POINTS
 
-    def _many_deaf(self, now: timedelta, silence: timedelta) -> bool:
-        """Whether it is rather our own answers that are lost on the way, whoever they are for."""
-        heard = [
-            machine.contact.deaf
-            for machine in self.cluster.machines.values()
-            if machine.heard is not None and now - machine.heard <= silence
-        ]
-        return sum(heard) >= FEW_DEAF and sum(heard) > len(heard) * MOST_DEAF
-
     def _reason_to_return(self, machine: Machine, now: timedelta, silence: timedelta) -> str | None:
         kind = self.cluster.types.get(machine.machine_type)
         if machine.contact.anew:
@@ -512,12 +509,10 @@
             return "it does not boot" if given_up else None
         if machine.heard is not None and self._surely_gone(machine, now - machine.heard, now):
             return "it was taken"
-        unknown = now - (machine.up_since or now) > self.cluster.workers.report * UNKNOWN_REPORTS
-        if unknown and not machine.knows_us and not machine.vouched:
-            # Known of by a report alone that has not seen our token: a machine that is there shows
-            # it with its next one.  No record names anything on it, so nothing is lost with it.
+        if not machine.knows_us and not machine.vouched and self._unknown(machine, now):
             return "nobody knows of it, and it does not answer"
-        if machine.contact.deaf_for(now) > silence and not self._too_many_deaf:
+        missed = machine.contact.missed
+        if missed and machine.contact.deaf_for(now) > silence and not self._too_many_deaf:
             # Its lease is over, whatever we have answered: what ran on it was moved or is lost.
             return "it reports, but does not hear us"
         if machine.heard is None or now - machine.heard > silence:
@@ -550,6 +545,12 @@
             return "it is idle"
         return None
 
+    def _unknown(self, machine: Machine, now: timedelta) -> bool:
+        """Whether a machine that is known from a report alone, which had not seen our token, should
+        have shown it by now.  No record names anything on it, so nothing is lost with it."""
+        report = self.cluster.workers.report
+        return machine.up_since is not None and now - machine.up_since > report * UNKNOWN_REPORTS
+
     def _surely_gone(self, machine: Machine, quiet: timedelta, now: timedelta) -> bool:
         """Whether a silent machine is so likely to be gone that asking the cloud for its end beats
         waiting for its lease: the answer makes it certain, and its tasks start elsewhere sooner.
