What is gathered stays gathered: it counts as used, and its zone is kept

Change: a job for which room is gathered stays a candidate until it has begun; the zone chosen before is worth a minute. A test fails before.

--- a/micadeal/scheduling/gathering.py
+++ b/micadeal/scheduling/gathering.py
@@ -48,6 +48,8 @@
 OVERDUE = 0.5
 #: A machine that is kept already is worth so many seconds more: the choice is not to waver.
 KEPT_BONUS_S = 20.0
+#: And the zone that was chosen before so many.
+SAME_ZONE_S = 60.0
 #: A machine that is still to be rented, or boots, comes after about its boot time.
 RENTED_S = 60.0
 
@@ -97,7 +99,10 @@
             taken: set[str] = set()
             for job in waiting[:MOST_GATHERING]:
                 chosen = self._choose(job, places, market, scarce, taken, now)
-                if chosen is None or (found and len(taken) + len(chosen.machines) > most):
+                if chosen is None:
+                    continue
+                more = found and job.id not in self.sets
+                if more and len(taken) + len(chosen.machines) > most:
                     continue
                 found[job.id] = chosen
                 taken |= chosen.machines
@@ -139,14 +144,18 @@
                 continue
             key = (job.spec.team, job.resource)
             # Room may be cleared for a team that lacks its guarantee, once it is known where.
-            if waited < policy.gather_after and not (job.is_gang and key in short):
+            early = job.is_gang and key in short
+            # What is kept counts as used by its team, so a team whose job is gathered for is
+            # neither short nor wanting any more: that is no reason to give all of it up again.
+            chosen = job.id in self.sets
+            if waited < policy.gather_after and not (early or chosen):
                 continue
             if job.production or not job.waiting_count() or job.spec.team not in cluster.teams:
                 continue
             if need(job) == 1 and market.most_on_one(job.spec) > 1:
                 # Whatever comes free is of use to it: its turn is all that it waits for.
                 continue
-            if key in content and waited < policy.gather_late:
+            if key in content and waited < policy.gather_late and not chosen:
                 continue
             usage = cluster.usage() if usage is None else usage
             if _within_limits(job, cluster, usage):
@@ -188,6 +197,8 @@
             if lacking and not _rentable(job, zone, lacking, market, places.held, now):
                 continue
             at = RENTED_S if lacking else soonest[-1][0]
+            if before is not None and before.zone == zone:
+                at -= SAME_ZONE_S
             if best is None or at < best_at:
                 names = frozenset(name for _, name in soonest)
                 best, best_at = Gathered(names, zone, lacking), at
--- a/tests/test_largest.py
+++ b/tests/test_largest.py
@@ -8,6 +8,10 @@
 import curio
 import pytest
 
+from micadeal.clock import seconds
+from micadeal.scheduling.gathering import Gathering
+from micadeal.wire.users import Priority, Shape
+from tests.fakes.picture import Picture
 from tests.fakes.world import World
 
 #: Operators check it at the end of each day.
@@ -152,3 +156,30 @@
         await world.until(all_begun, limit=BEGIN_IN)
 
     _world().play(monkeypatch, story)
+
+
+def test_what_is_gathered_is_not_given_up_since_it_counts_as_used() -> None:
+    """Guards against sets that were made and dropped every second: with its machines kept, the team
+    had its share, and so no room was gathered for it any more."""
+    picture = Picture(12, 0)
+    cluster, now = picture.cluster, picture.now
+    for _ in range(12):
+        picture.submit(
+            shape=Shape.ARRAY, priority=Priority.STANDARD, tasks=2, gpus=1.0, cpus=6.0,
+            memory_gb=20.0, team=picture.teams[1], spot_allowed=True, one_zone=False,
+            spread=False, zone=None, machine_types=None,
+        )  # fmt: skip
+    picture.scheduler.run_pass(now)
+    gang = picture.submit(
+        shape=Shape.GANG, priority=Priority.STANDARD, tasks=2, gpus=2.0, cpus=14.0, one_zone=True,
+        team=picture.teams[0], spot_allowed=True, spread=False, zone=None, machine_types=None,
+    )  # fmt: skip
+    gathering, key = Gathering(), (gang.spec.team, gang.resource)
+    policy, market = picture.scheduler.policy, picture.scheduler.market
+    now += seconds(60)
+    for machine in cluster.machines.values():
+        machine.heard = now
+    gathering.look(cluster, market, policy, [], [], True, now)
+    first = gathering.sets[gang.id]
+    gathering.look(cluster, market, policy, [key], [], True, now + seconds(1.5))
+    assert gathering.sets[gang.id] == first
