Services are whole again after faulty machines; starts under way to a worker that began anew

Need: a service with errors on two machines had one task tried at a time for ever, since it is never done: a replica lost later was not replaced while another ran. A test fails before. From reading: a worker that began anew and does not know our token could still get a start of the leader before. Change: a replica that has run for 30 s clears its job's errors; what an earlier leader placed on such a machine is given up only by an answer that shows our token, or the cloud's.

--- a/micadeal/scheduling/cluster.py
+++ b/micadeal/scheduling/cluster.py
@@ -37,6 +37,8 @@
 GRACE_MARGIN = seconds(2)
 #: Without news of a machine for so many report intervals, one that looks old is looked into.
 NEWS_REPORTS = 1.5
+#: A task of a service that has run for so long does not fail by a mistake of its job.
+PROVEN = seconds(30)
 #: Images whose size is remembered; the least lately submitted one is forgotten.
 MOST_SIZES = 2000
 #: Names of machines that are gone.
@@ -61,6 +63,10 @@
     return workers.lease * (1 + 2 * DRIFT) + LEASE_MARGIN
 
 
+def _proven(attempt: Attempt, now: timedelta) -> bool:
+    return attempt.running_since is not None and now - attempt.running_since > PROVEN
+
+
 class HigherToken(Exception):
     """A worker has seen the token of a later leader."""
 
@@ -338,7 +344,9 @@
         for attempt in list(machine.attempts.values()):
             if (attempt.task, attempt.number) in shown:
                 self.stop(attempt, ZERO, now)
-            else:
+            elif self._ours(attempt) or report.token == self.token:
+                # We order no start as long as reports look old.  A start of an earlier leader may
+                # be on its way to a worker that does not know our token: the cloud makes certain.
                 self._lose(machine, attempt, now)
         self.changed = True
 
@@ -467,6 +475,11 @@
                 machine.shape = None
             attempt.state = state
         job = self.jobs[key[0]]
+        if job.is_service and job.errors and _proven(attempt, now):
+            # It is never done: that it runs takes back what failed on faulty machines.  Else a
+            # replica that was lost later was not replaced as long as another one ran.
+            job.errors.clear()
+            job.retry_at = timedelta.min
         if not job.over:
             machine.images[job.spec.image] = now
         if unknown and (job.over or len(job.attempts[key[1]]) > 1 or key[1] in job.finished):
--- a/tests/test_mistakes.py
+++ b/tests/test_mistakes.py
@@ -40,6 +40,24 @@
     World().play(monkeypatch, story)
 
 
+def test_a_service_that_failed_on_faulty_machines_is_whole_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards replicas: with errors on two machines one task was tried at a time, and a service is
+    never done, so what was lost later was not replaced as long as another replica ran."""
+
+    async def story(world: World) -> None:
+        world.fleet.faulty |= {"i-000001", "i-000002"}
+        service = await world.run_job("daemon", 4, rank="production", scatter=True)
+        await world.until(lambda: world.running(service) == 4, limit=200)
+        await curio.sleep(40)
+        lost = next(worker.name for worker, _ in world.held(service))
+        world.cloud.take(lost)
+        await world.until(lambda: world.running(service) == 4, limit=45)
+
+    World().play(monkeypatch, story)
+
+
 def test_errors_point_to_a_machine_only_as_far_as_its_jobs_run_elsewhere() -> None:
     scheduler = Picture(machines=4, jobs=0).scheduler
     cluster = scheduler.cluster
