--- a/micadeal/controller/desk.py
+++ b/micadeal/controller/desk.py
@@ -36,6 +36,7 @@
     Unavailable,
     Urgency,
 )
+from micadeal.state.unchanged import Unchanged
 from micadeal.stored.descriptions import read_whole, split, waits_for_others
 from micadeal.stored.keys import ENDS, JOBS
 from micadeal.waiting import within
@@ -106,6 +107,10 @@
         self._final: OrderedDict[str, JobAnswer] = OrderedDict()
         #: Jobs that were found accepted when a long list named them.
         self._accepted: OrderedDict[str, None] = OrderedDict()
+        #: Jobs that wait for no others, and the version of their records: as long as that holds
+        #: they are neither done nor cancelled.
+        self._alone: OrderedDict[str, int] = OrderedDict()
+        self._unchanged = Unchanged(state)
         #: All jobs that need one that was cancelled before this instant are recorded cancelled.
         self._cascaded: timedelta | None = None
         self._counts: dict[str, Counts] = {}
@@ -349,16 +354,28 @@
         if (known := self._final.get(job_id)) is not None:
             return known
         asked = steady()
+        if (version := self._alone.get(job_id)) is not None:
+            if await self._unchanged.holds(JOBS + job_id, version):
+                return self._going_on(job_id)
+            self._alone.pop(job_id, None)
         item = await self._state.get(JOBS + job_id)
-        if item is not None:
-            if waits_for_others(item.value) and await self._orphan(job_id, item, asked):
+        if item is None:
+            return await self._ended(job_id)
+        if waits_for_others(item.value):
+            if await self._orphan(job_id, item, asked):
                 return await self._ended(job_id)
-            counts = self._counts.get(job_id)
-            if counts is None:
-                return JobAnswer(job_id, Status.PENDING, 0, 0)
-            status = Status.RUNNING if counts.running else Status.PENDING
-            return JobAnswer(job_id, status, counts.done, counts.running)
-        return await self._ended(job_id)
+        else:
+            self._alone[job_id] = item.version
+            if len(self._alone) > REMEMBERED:
+                self._alone.popitem(last=False)
+        return self._going_on(job_id)
+
+    def _going_on(self, job_id: str) -> JobAnswer:
+        counts = self._counts.get(job_id)
+        if counts is None:
+            return JobAnswer(job_id, Status.PENDING, 0, 0)
+        status = Status.RUNNING if counts.running else Status.PENDING
+        return JobAnswer(job_id, status, counts.done, counts.running)
 
     async def _orphan(self, job_id: str, item: Item, asked: timedelta) -> bool:
         """Whether the job turns out to be over, since a job further up is cancelled: then that is
--- a/micadeal/state/limits.py
+++ b/micadeal/state/limits.py
@@ -22,6 +22,11 @@
     operations: int
     value_bytes: int
 
+    @property
+    def conditions(self) -> int:
+        """Of one transaction."""
+        return self.operations * 4
+
     def fits(self, value: Any) -> bool:
         return json_size(value) <= self.value_bytes
 
--- a/micadeal/state/service.py
+++ b/micadeal/state/service.py
@@ -20,6 +20,7 @@
     Changes,
     Condition,
     Drop,
+    Failed,
     Item,
     LeaseAnswer,
     LeaseRequest,
@@ -199,6 +200,17 @@
             raise Refused(answer.decode(errors="replace")[:200])
         return self._read(Revision, status, answer).revision
 
+    async def changed(self, conditions: Sequence[Condition], urgency: Urgency) -> set[str]:
+        """Of these keys, those that are not at the version given, by one read of all of them."""
+        body = encode(Transaction(list(conditions), []))
+        status, answer = await self._request("POST", "/txn", body, urgency=urgency)
+        if status == 409:
+            return set(self._read(Failed, 200, answer).failed)
+        if status == 400:
+            raise Refused(answer.decode(errors="replace")[:200])
+        self._read(Revision, status, answer)
+        return set()
+
     async def new_lease(self, ttl: timedelta) -> int:
         body = encode(LeaseRequest(round(ttl.total_seconds() * 1000)))
         status, answer = await self._request("POST", "/leases", body, urgency=Urgency.LEASE)
--- a/micadeal/wire/state.py
+++ b/micadeal/wire/state.py
@@ -53,6 +53,12 @@
     revision: int = 0
 
 
+class Failed(msgspec.Struct):
+    """With status 409: the keys that have another version."""
+
+    failed: list[str]
+
+
 class LeaseRequest(msgspec.Struct):
     ttl_ms: int
 
--- a/tests/fakes/state.py
+++ b/tests/fakes/state.py
@@ -28,6 +28,8 @@
         #: Present limits; a story may lower them.
         self.txn_ops = txn_ops
         self.value_bytes = value_bytes
+        #: Requests, watches aside.
+        self.requests = 0
         #: Transactions refused for their size.
         self.refused = 0
         self.largest_txn = 0
@@ -62,6 +64,7 @@
     async def handle(self, request: Request) -> Answer:
         if request.path == "/changes":
             return await self._watch(request)
+        self.requests += 1
         if self.outage:
             return error(503, "trouble")
         if request.path == "/txn":
--- a/tests/test_users.py
+++ b/tests/test_users.py
@@ -198,3 +198,37 @@
             world.state.outage = False
 
     World().play(monkeypatch, story)
+
+
+def test_many_polls_share_the_requests_that_the_state_service_takes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards the leader's writes: hundreds of jobs that are polled used up all requests, so that
+    placements and ends waited for minutes.  What ends meanwhile is told all the same."""
+
+    async def story(world: World) -> None:
+        jobs = [await world.run_job("array", 1, run_s=400.0) for _ in range(60)]
+        short = await world.run_job("array", 1, run_s=20.0, crew="blue")
+        for job in jobs:
+            await world.status(job, 1)
+        before = world.state.requests
+
+        async def poll(job: str) -> None:
+            assert await world.status(job, 1) in ("pending", "running")
+
+        for _ in range(5):
+            async with curio.TaskGroup() as group:
+                for job in jobs:
+                    await group.spawn(poll, job)
+            await curio.sleep(1)
+        assert world.state.requests - before < 5 * 20
+        assert await world.cancel(jobs[7], 0) == "cancelled"
+        assert await world.status(jobs[7], 1) == "cancelled"
+        await world.until_done(short)
+        world.state.outage = True
+        assert await world.status(jobs[3], 1) is None
+        world.state.outage = False
+        await curio.sleep(2)
+        assert await world.status(jobs[3], 1) in ("pending", "running")
+
+    World().play(monkeypatch, story)
