A leader that is refused alone learns of its successor by ping; settings depend on what is there

Cause: a leader that the state service refuses can't read that another was elected, and its peers' pings told it nothing: two answered workers until a report showed the higher token. A follower that is refused sent workers to a leader that was gone. And a script of the operators' whose writing got no answer, carried out late, undid a newer one.

Change: pings that name a later term end the present one, and name the leader to those who can't read it; tokens only grow, so what was held up takes nobody back. /settings writes under the version read, and answers 409 where it was changed meanwhile.

--- a/micadeal/controller/node.py
+++ b/micadeal/controller/node.py
@@ -47,13 +47,13 @@
 from micadeal.operator.script import check_highest_level, policy_from_values
 from micadeal.rollout.levels import Build, Level
 from micadeal.scheduling.cluster import lease_over
-from micadeal.state.service import Refused, StateError, StateService, Urgency
+from micadeal.state.service import Conflict, Refused, StateError, StateService, Urgency
 from micadeal.stored.keys import SETTINGS
 from micadeal.waiting import sleep
 from micadeal.wire.cloud import MachineType
 from micadeal.wire.codec import BadMessage, convert, decode
 from micadeal.wire.mesh import Notice, Overview, Ping, Pong, Relay, Relayed, WhyAnswer
-from micadeal.wire.state import Put, SettingsRecord
+from micadeal.wire.state import Condition, Put, SettingsRecord
 from micadeal.wire.workers import Orders, Redirect, Report
 
 log = logging.getLogger(__name__)
@@ -125,6 +125,7 @@
         self._dispatcher: Dispatcher | None = None
         self._term_task: Any = None
         self._leader: str | None = None
+        self._peer_names = {peer.name for peer in platform.peers}
         #: The token of the leader last seen; 0: none was.
         self._leader_token = 0
         #: Cancellations that the leader's actor had no room for.
@@ -217,8 +218,25 @@
                 if self._term_task is not None:
                     await self._term_task.cancel(blocking=False)
             case LeaderSeen(controller, token):
-                self._set_leader(controller)
-                self._leader_token = token
+                if token >= self._leader_token:
+                    self._set_leader(controller)
+                    self._leader_token = token
+
+    def _hear_leader(self, name: str, token: int) -> None:
+        """A controller says that it leads a term: also one that can't read that for itself learns
+        so of it.  Terms only grow, so nothing that was held up takes us back.
+
+        Guards against two that answer workers: one that is refused by the state service alone would
+        go on in its past term, and send workers to one that is gone.
+        """
+        if token < self._leader_token or name not in self._peer_names:
+            return
+        if self._dispatcher is not None:
+            if token > self._dispatcher.token:
+                self._election.resign(f"{name} leads the later term {token}")
+            return
+        self._leader_token = token
+        self._set_leader(name)
 
     def _set_leader(self, name: str | None) -> None:
         if name != self._leader:
@@ -483,7 +501,13 @@
         if not self._state.present.fits(record):
             return error(400, "the script is too large for the state service")
         try:
-            await self._state.commit([], [Put(SETTINGS, record)], Urgency.USER)
+            # Depends on what is there: one without an answer, carried out after a newer one, would
+            # bring an old script back.
+            item = await self._state.get(SETTINGS)
+            known = Condition(SETTINGS, 0 if item is None else item.version)
+            await self._state.commit([known], [Put(SETTINGS, record)], Urgency.USER)
+        except Conflict:
+            return error(409, "the settings were changed meanwhile: look at them and apply again")
         except Refused:
             # Its limits are lower by now than they were when this controller was started.
             return error(400, "the script is too large for the state service")
@@ -525,6 +549,8 @@
     async def _on_ping(self, request: Request) -> Answer:
         ping = decode(Ping, request.body)
         self._levels.told(ping.leading_token, ping.process)
+        if ping.leading_token > 0:
+            self._hear_leader(ping.controller, ping.leading_token)
         counts = []
         cascade_age = None
         if ping.wants_counts and self._dispatcher is not None:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -62,3 +62,55 @@
         assert world.running(stays) == 3
 
     World().play(monkeypatch, story)
+
+
+@pytest.mark.parametrize("peers", [True, False])
+def test_a_refused_leader_ends_its_term_when_a_later_one_speaks(
+    monkeypatch: pytest.MonkeyPatch, peers: bool
+) -> None:
+    """Two that answer workers: the one that can't read that it was replaced learns so from the
+    later one, and sends workers on.  Cut off from it as well, it ends in time for what is cancelled
+    through the later one, though workers of one zone reach nobody else."""
+
+    async def story(world: World) -> None:
+        stays, doomed = await two_jobs(world)
+        old = leader_of(world)
+        world.network.cut(f"c{old}", "state", REFUSE)
+        if not peers:
+            for other in range(3):
+                if other != old:
+                    world.network.cut(f"c{old}", f"c{other}")
+        apart = world.held(doomed)[0][0]
+        for other in range(3):
+            if other != old:
+                world.network.cut(apart.name, f"c{other}")
+        await world.until(lambda: world.leader() not in (None, old))
+        leader = leader_of(world)
+        assert await world.cancel(doomed, leader) == "cancelled"
+        if peers:
+            await world.until(lambda: world.nodes[old]._leader == f"c{leader}", limit=4)
+        await curio.sleep(CANCEL_S)
+        assert not world.held(doomed)
+        if peers:
+            # Over the mesh.
+            assert apart.token == world.state.keys["seat/held"][1]
+        await world.until(lambda: world.running(stays) == 3)
+
+    World().play(monkeypatch, story)
+
+
+def test_settings_that_were_never_answered_undo_no_newer_ones(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def story(world: World) -> None:
+        await world.until(lambda: world.leader() is not None)
+        world.network.late = lambda source, address, request: (
+            6.0 if request.path == "/txn" and b"older" in request.body else None
+        )
+        assert (await world.call(0, "POST", "/settings", {"script": "# older"}))[0] == 503
+        assert (await world.call(1, "POST", "/settings", {"script": "# newer"}))[0] == 200
+        await curio.sleep(10)
+        status, found = await world.call(2, "GET", "/settings")
+        assert (status, found["script"]) == (200, "# newer")
+
+    World().play(monkeypatch, story)
