A gang's running attempt does not end with what an earlier one left somewhere

Cause: a placement whose answer was lost is given its key again; used and dropped, the key has version 0, and the late transaction makes a record that names an attempt which never started. The next leader takes it for one that may be there. When its machine was found gone, all attempts of the gang were stopped without saving, the running one among them. Change: only members of the same attempt are brought to an end with a lost one. Test: fails before. Found by going through what each late transaction of the same term can do; all other kinds leave nothing, or a record that the next leader drops.

--- a/micadeal/controller/desk.py
+++ b/micadeal/controller/desk.py
@@ -413,6 +413,7 @@
         which stands in for the leader will hear of it, whoever crashes meanwhile."""
         if not await self._spread(found.job_id):
             raise StateError("recorded, but too few controllers know of it")
+        log.debug("%s is told to be cancelled", found.job_id)
         return self._remember(found)
 
     def _remember(self, final: JobAnswer) -> JobAnswer:
--- a/micadeal/scheduling/cluster.py
+++ b/micadeal/scheduling/cluster.py
@@ -148,8 +148,8 @@
         self.changed = True
 
     def _forget_job(self, job: Job) -> None:
-        if job.over and not job.attempts:
-            self.jobs.pop(job.id, None)
+        if job.over and not job.attempts and self.jobs.pop(job.id, None) is not None:
+            log.debug("nothing is left of %s", job.id)
 
     def next_number(self) -> int:
         self._attempts += 1
@@ -553,15 +553,18 @@
             job.retry_at = now + seconds(2)
 
     def _member_gone(self, attempt: Attempt, now: timedelta) -> None:
-        """A gang lost a task: its whole attempt is brought to an end before the next."""
+        """A gang lost a task: its whole attempt is brought to an end before the next.
+
+        Another attempt of the gang is none of its business: what an earlier attempt may have left
+        somewhere, or a record that was carried out late names, ends without those that run.
+        """
         job = self.jobs.get(attempt.job_id)
         if job is None or not job.is_gang or job.over or job.complete:
             return
+        others = [a for a in job.all_attempts() if a is not attempt and a.number == attempt.number]
         if attempt.state is TaskState.SAVING or attempt.stop is not None:
             # An orderly stop: each task saves and exits by itself.
-            others = [a for a in job.all_attempts() if a is not attempt and a.stop is None]
-        else:
-            others = [a for a in job.all_attempts() if a is not attempt]
+            others = [a for a in others if a.stop is None]
         for other in others:
             self.stop(other, ZERO, now)
 
--- /dev/null
+++ b/tests/fakes/histories.py
@@ -0,0 +1,376 @@
+"""Seeded histories: troubles that meet at random instants, over a deployment in memory.
+
+The same seed plays the same history.  The world watches the protocol's rules; at the end all that
+was accepted and not cancelled has to run to its end, and no answer is missing.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
+from itertools import combinations
+from typing import Any
+
+import curio
+import pytest
+
+from micadeal.clock import steady
+from micadeal.http.message import Request
+from tests.fakes import state as state_fake
+from tests.fakes.network import HOLD, REFUSE, SILENT
+from tests.fakes.workers import FakeWorker
+from tests.fakes.world import CANCEL_S, World
+
+#: Until controllers may stand in for each other.
+SETTLED = CANCEL_S + 4
+#: Troubles of a history begin within this time, in seconds.
+TOGETHER = 12.0
+#: What is left when all troubles are over has to be done within this time.
+PATIENCE = 240.0
+
+Trouble = Callable[["History"], Awaitable[None]]
+
+
+@dataclass(frozen=True)
+class Begins:
+    at: float
+    kind: str
+
+
+class History:
+    def __init__(self, seed: int, kinds: Iterable[str] = ()) -> None:
+        """``kinds``: the troubles; none: two or three are drawn."""
+        self.seed = seed
+        self.random = random.Random(seed)
+        drawn = list(kinds) or self.random.sample(sorted(TROUBLES), self.random.choice([2, 2, 3]))
+        self.troubles = [Begins(self.random.uniform(0, TOGETHER), kind) for kind in drawn]
+        self.world = World(seed, boot_s=3.0)
+        self.jobs: list[str] = []
+        self.cancelling: set[str] = set()
+        self._underway = 0
+        #: Confirmed cancellations: how long after it the last task was gone.
+        self.gone_after: list[float] = []
+
+    def line(self) -> str:
+        troubles = ", ".join(f"{t.kind} at {t.at:.1f}" for t in sorted(self.troubles, key=_at))
+        return f"seed {self.seed}: {troubles}"
+
+    def play(self) -> list[str]:
+        """What broke."""
+        with pytest.MonkeyPatch.context() as patch:
+            try:
+                self.world.play(patch, self._story)
+            except AssertionError as problem:
+                return list(dict.fromkeys(self.world.broken)) or [str(problem).split("\n")[0]]
+        return []
+
+    # -- the day ---------------------------------------------------------------------------
+
+    async def _story(self, world: World) -> None:
+        for shape, legs, run_s, crew in (
+            ("daemon", 3, 0.0, "red"),
+            ("gang", 2, 70.0, "blue"),
+            ("array", 3, 55.0, "blue"),
+            ("daemon", 2, 0.0, "blue"),
+        ):
+            await self._submit(shape, legs, run_s, crew)
+        await curio.sleep(SETTLED)
+        users = await curio.spawn(self._users, daemon=True)
+        for trouble in sorted(self.troubles, key=_at):
+            await curio.spawn(self._trouble, trouble, daemon=True)
+        await curio.sleep(TOGETHER + 1)
+        await world.until(lambda: not self._underway, limit=120)
+        await users.cancel()
+        await self._heal()
+        await self._all_served()
+
+    async def _trouble(self, trouble: Begins) -> None:
+        self._underway += 1
+        try:
+            await curio.sleep(trouble.at)
+            await TROUBLES[trouble.kind](self)
+        finally:
+            self._underway -= 1
+
+    async def _users(self) -> None:
+        """Submit, poll and cancel, each time at some controller."""
+        while True:
+            await curio.sleep(self.random.uniform(0.3, 1.5))
+            chance = self.random.random()
+            if chance < 0.2 and len(self.jobs) < 14:
+                # No more services: what is never done would keep the rest off its team's limit.
+                shape = self.random.choice(["array", "array", "gang"])
+                legs = self.random.choice([1, 2, 3])
+                run_s = self.random.choice([2.0, 8.0, 40.0])
+                await curio.spawn(self._submit, shape, legs, run_s, "red", daemon=True)
+            elif chance < 0.45 and self.jobs:
+                job = self.random.choice(self.jobs)
+                if job not in self.cancelling and len(self.cancelling) < 7:
+                    self.cancelling.add(job)
+                    await curio.spawn(self.cancel, job, daemon=True)
+            elif self.jobs:
+                job = self.random.choice(self.jobs)
+                await curio.spawn(self.world.status, job, self.random.randrange(3), daemon=True)
+
+    async def _submit(self, shape: str, legs: int, run_s: float, crew: str) -> None:
+        fields: dict[str, Any] = {"crew": crew}
+        if shape == "gang":
+            fields |= {"one_zone": True, "bookmark_s": 5.0, "stow_s": 1.0}
+        if shape == "daemon":
+            fields |= {"scatter": True, "rank": "production"}
+        if run_s:
+            fields["run_s"] = run_s
+        job = self.world.job(shape, legs, **fields)
+        await self.world.submit(job)
+        self.jobs.append(job)
+
+    async def cancel(self, job: str, after: float = 0.0) -> None:
+        await curio.sleep(after)
+        while (said := await self.world.cancel(job, self.random.randrange(3))) is None:
+            await curio.sleep(1)
+        if said == "done":
+            self.cancelling.remove(job)
+            return
+        told = steady().total_seconds()
+        await self.world.until(lambda: not self.world.held(job), limit=CANCEL_S + 5)
+        self.gone_after.append(steady().total_seconds() - told)
+
+    async def _heal(self) -> None:
+        self.world.state.outage = False
+        await self.world.network.heal_all()
+        for worker in self.world.fleet.workers.values():
+            worker.hanging = False
+        for number in range(3):
+            if not self.world.on(number):
+                await self.world.start(number)
+
+    async def _all_served(self) -> None:
+        """Every accepted job that its user does not cancel runs to its end."""
+        await curio.sleep(1)
+        for job in self.jobs:
+            if job in self.cancelling:
+                until = steady().total_seconds() + PATIENCE
+                while job in self.cancelling and self.world.told.final.get(job) != "cancelled":
+                    assert steady().total_seconds() < until, f"{job} is never told cancelled"
+                    await curio.sleep(0.5)
+            elif self.world.fleet.jobs[job].spec["shape"] == "daemon":
+                legs = self.world.fleet.jobs[job].spec["legs"]
+                until = steady().total_seconds() + PATIENCE
+                while self.world.running(job) != legs:
+                    assert steady().total_seconds() < until, f"{job} does not run in full"
+                    await curio.sleep(0.5)
+            else:
+                await self.world.until_done(job, PATIENCE)
+
+    # -- what troubles need ----------------------------------------------------------------
+
+    def leader(self) -> int:
+        """The one that leads, or some other if nobody does."""
+        found = self.world.leader()
+        return self.random.randrange(3) if found is None else found
+
+    def some(self, share: float) -> list[FakeWorker]:
+        workers = sorted(self.world.fleet.workers.values(), key=lambda worker: worker.name)
+        return [worker for worker in workers if self.random.random() < share]
+
+    async def cut(self, pairs: Iterable[tuple[str, str]], mode: str, for_s: float) -> None:
+        pairs = list(pairs)
+        for pair in pairs:
+            self.world.network.cut(*pair, mode)
+        await curio.sleep(for_s)
+        for pair in pairs:
+            await self.world.network.heal(*pair)
+
+    async def restart(self, number: int, after: float) -> None:
+        if self.world.on(number):
+            self.world.crash(number)
+            await curio.sleep(after)
+            if not self.world.on(number):
+                await self.world.start(number)
+
+
+def _at(trouble: Begins) -> float:
+    return trouble.at
+
+
+# -- the troubles ------------------------------------------------------------------------------
+
+
+async def _refused(history: History) -> None:
+    for_s = history.random.choice([1.0, 2.5, 4.0, 14.0])
+    await history.cut([(f"c{history.leader()}", "state")], REFUSE, for_s)
+
+
+async def _outage(history: History) -> None:
+    history.world.state.outage = True
+    await curio.sleep(history.random.choice([3.0, 10.0, CANCEL_S + 10]))
+    history.world.state.outage = False
+
+
+async def _gap(history: History) -> None:
+    """The leader alone is refused, others confirm cancellations, then nobody has the service."""
+    await _open_gap(history, history.leader())
+
+
+async def _gap_at_election(history: History) -> None:
+    """The same for a leader that was elected a moment ago, and reads its records slowly."""
+    gone = history.leader()
+    late_by = history.random.choice([0.0, 0.4, 1.5, 30.0])
+
+    def slow(source: str, address: str, request: Request) -> float:
+        reads = request.path == "/keys" and address == state_fake.ADDRESS
+        return late_by if reads and "starts=job/" in request.query else 0.0
+
+    history.world.network.slow = slow
+    await curio.spawn(history.restart, gone, 5.0, daemon=True)
+    for _ in range(100):
+        await curio.sleep(0.05)
+        if history.world.leader() not in (None, gone):
+            break
+    await curio.sleep(history.random.uniform(0, 0.3))
+    await _open_gap(history, history.leader())
+    history.world.network.slow = None
+
+
+async def _open_gap(history: History, leader: int) -> None:
+    draw = history.random
+    others = [f"c{n}" for n in range(3) if n != leader]
+    for_s = draw.choice([1.0, 2.5, 6.0, 14.0, 50.0])
+    await curio.spawn(history.cut, [(f"c{leader}", "state")], REFUSE, for_s, daemon=True)
+    if draw.random() < 0.3:
+        pairs = [(f"c{leader}", other) for other in others]
+        await curio.spawn(history.cut, pairs, SILENT, for_s, daemon=True)
+    for job in draw.sample(history.jobs, min(3, len(history.jobs))):
+        if job not in history.cancelling:
+            history.cancelling.add(job)
+            await curio.spawn(history.cancel, job, draw.uniform(0, 4), daemon=True)
+    await curio.sleep(draw.choice([0.1, 0.5, 1.5, 2.9, 3.2, 4.5]))
+    if draw.random() < 0.3:
+        await curio.spawn(history.restart, int(draw.choice(others)[1:]), 0.4, daemon=True)
+    history.world.state.outage = True
+    await curio.sleep(CANCEL_S + 10)
+    history.world.state.outage = False
+
+
+async def _apart(history: History) -> None:
+    """Cut from the state service and the other controllers, not from workers and users."""
+    leader = history.leader()
+    pairs = [(f"c{leader}", f"c{n}") for n in range(3) if n != leader]
+    mode = history.random.choice([SILENT, HOLD])
+    await history.cut([*pairs, (f"c{leader}", "state")], mode, history.random.choice([5.0, 40.0]))
+
+
+async def _crash(history: History) -> None:
+    await history.restart(history.leader(), history.random.choice([0.05, 0.7, 5.0]))
+
+
+async def _follower_crash(history: History) -> None:
+    number = (history.leader() + history.random.choice([1, 2])) % 3
+    await history.restart(number, history.random.choice([0.05, 0.7, 5.0]))
+
+
+async def _all_crash(history: History) -> None:
+    first = history.random.randrange(3)
+    for number in range(3):
+        history.world.crash(number)
+    await curio.sleep(history.random.choice([0.1, 0.9]))
+    await history.world.start(first)
+    await curio.sleep(history.random.choice([0.2, 5.0]))
+    for number in range(3):
+        if not history.world.on(number):
+            await history.world.start(number)
+
+
+async def _hand_over(history: History) -> None:
+    """Over and back: the leader ends in good order, and so does the next a moment later."""
+    for _ in range(2):
+        leader = history.leader()
+        if history.world.on(leader):
+            await history.world.nodes[leader].retire()
+        await history.restart(leader, 0.1)
+        await curio.sleep(history.random.choice([0.3, 2.0]))
+
+
+async def _deaf(history: History) -> None:
+    names = {worker.name for worker in history.some(0.4)}
+    history.world.network.deaf |= names
+    await curio.sleep(history.random.choice([4.0, 25.0]))
+    history.world.network.deaf -= names
+
+
+async def _hang(history: History) -> None:
+    workers = history.some(0.4)
+    for worker in workers:
+        worker.hanging = True
+    await curio.sleep(history.random.choice([2.0, 9.0, 20.0]))
+    for worker in workers:
+        worker.hanging = False
+
+
+async def _out_of_reach(history: History) -> None:
+    leader = history.leader()
+    mode = history.random.choice([SILENT, HOLD])
+    pairs = [(worker.name, f"c{leader}") for worker in history.some(0.5)]
+    await history.cut(pairs, mode, history.random.choice([5.0, 30.0]))
+
+
+async def _late_writes(history: History) -> None:
+    def late(source: str, address: str, request: Request) -> float | None:
+        if request.path != "/txn" or history.random.random() > 0.3:
+            return None
+        return history.random.uniform(2, 12)
+
+    history.world.network.late = late
+    await curio.sleep(25)
+    history.world.network.late = None
+
+
+async def _late_reports(history: History) -> None:
+    def copies(source: str, address: str, request: Request) -> Iterable[tuple[float, str]]:
+        if request.path == "/checkin" and history.random.random() < 0.3:
+            place = f"10.0.0.{history.random.randrange(3) + 1}:8080"
+            yield history.random.uniform(2, 25), history.random.choice([address, place])
+
+    history.world.network.copies = copies
+    await curio.sleep(25)
+    history.world.network.copies = None
+
+
+async def _slow_state(history: History) -> None:
+    def slow(source: str, address: str, request: Request) -> float:
+        if address != state_fake.ADDRESS:
+            return 0.0
+        return history.random.choice([0.0, 0.2, 0.6, 1.8, 2.5])
+
+    history.world.network.slow = slow
+    await curio.sleep(15)
+    history.world.network.slow = None
+
+
+async def _begin_anew(history: History) -> None:
+    for worker in history.some(0.3):
+        worker.begin_anew()
+
+
+TROUBLES: dict[str, Trouble] = {
+    "leader refused": _refused,
+    "outage": _outage,
+    "gap": _gap,
+    "gap at an election": _gap_at_election,
+    "leader apart": _apart,
+    "leader crash": _crash,
+    "follower crash": _follower_crash,
+    "all crash": _all_crash,
+    "hand over": _hand_over,
+    "deaf machines": _deaf,
+    "hung machines": _hang,
+    "machines out of reach": _out_of_reach,
+    "late writes": _late_writes,
+    "late reports": _late_reports,
+    "slow state service": _slow_state,
+    "workers anew": _begin_anew,
+}
+
+#: All pairs of troubles, in a fixed order.
+PAIRS = list(combinations(sorted(TROUBLES), 2))
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -9,6 +9,8 @@
 from micadeal.jobs.model import Job
 from micadeal.operator.platform import Workers
 from micadeal.scheduling.cluster import Cluster
+from micadeal.wire.state import PlacedMachine, PlacedRecord, PlacedTask
+from micadeal.wire.users import Shape
 from micadeal.wire.workers import Report, TaskReport, Verb
 from tests.test_parts import spec
 
@@ -111,3 +113,24 @@
     assert [o.verb for o in cluster.stops_for(machine)] == [Verb.STOP]
     cluster.on_report(report(1, session=2), seconds(44), checkin=True)
     assert not machine.attempts and job.id not in cluster.jobs
+
+
+def test_what_an_earlier_attempt_of_a_gang_left_ends_without_the_one_that_runs() -> None:
+    """Guards work: a placement that was carried out late, after its key had been used and dropped,
+    names an attempt that never started.  The next leader takes it for one that may be there, and
+    its machine is gone."""
+    cluster = Cluster(TOKEN, WORKERS, {}, ZERO)
+    job = Job(spec(shape=Shape.GANG, tasks=2), ZERO, 1)
+    cluster.add_job(job)
+
+    def placed(name: str, index: int, number: int) -> PlacedMachine:
+        task = PlacedTask(job.id, index, number)
+        return PlacedMachine(name, f"{name}:9000", "box", "north", False, 1, [task])
+
+    runs = PlacedRecord([placed("m", 0, 6), placed("n", 1, 6)])
+    cluster.load_placed("placed/6/2", runs, ZERO)
+    cluster.load_placed("placed/6/1", PlacedRecord([placed("gone", 0, 5)]), ZERO)
+    cluster.machine_gone("gone", seconds(20))
+    assert [(a.number, a.stop) for a in job.all_attempts()] == [(6, None), (6, None)]
+    cluster.machine_gone("n", seconds(21))
+    assert [(a.number, a.stop) for a in job.all_attempts()] == [(6, ZERO)]
