The log says when a leader's power changes, and when a cancellation is not confirmed

Need: an operator could not see that a leader only renews leases, or answers nobody, nor that a cancellation is recorded and waits for other controllers to hear of it. Change: one line at each change, one for each unconfirmed cancellation.

--- a/micadeal/controller/desk.py
+++ b/micadeal/controller/desk.py
@@ -412,6 +412,7 @@
         """Guards ``ran_cancelled``: before a user is told, so many controllers know of it that any
         which stands in for the leader will hear of it, whoever crashes meanwhile."""
         if not await self._spread(found.job_id):
+            log.info("%s is cancelled, not confirmed: too few controllers know", found.job_id)
             raise StateError("recorded, but too few controllers know of it")
         log.debug("%s is told to be cancelled", found.job_id)
         return self._remember(found)
--- a/micadeal/controller/dispatcher.py
+++ b/micadeal/controller/dispatcher.py
@@ -79,6 +79,12 @@
 MOST_ASKED = 12
 #: Reads of jobs' ends under way at once.
 MOST_READING = 6
+#: What the log says when the power of the term changes.
+POWERS = {
+    Power.FULL: "in touch with the state service again: leads with full power",
+    Power.RENEW_ONLY: "out of touch with the state service: only renews leases and passes on halts",
+    Power.NONE: "answers no worker: jobs may be cancelled that we know not of",
+}
 
 
 class Dispatcher(Actor):
@@ -117,6 +123,8 @@
         self._effort = Effort(now)
         self._pass_due = ZERO
         self._loaded = False
+        #: As last logged.
+        self._shown = Power.FULL
         self._retiring = False
         self._releasing = False
         self._renting: set[str] = set()
@@ -196,7 +204,11 @@
         result = self._take(message)
         now = steady()
         self._effort.add("reports" if isinstance(message, ReportIn) else "messages", now - began)
-        if self._loaded and self._power() is Power.FULL:
+        power = self._power()
+        if power is not self._shown and self._loaded:
+            log.info("%s", POWERS[power])
+            self._shown = power
+        if self._loaded and power is Power.FULL:
             if isinstance(message, Tick):
                 self._scheduler.tick(now, leases_count=self._leases_count(now))
                 if self._zones.due(now):
