Stories of the other meetings: leaders lost beside silent machines, late transactions, held commands

One for each meeting named: machines out of reach, deaf or held while the leader ends; leaders that hand over and back, and controllers back in 0.05 s, in the middle of an election; half of the transactions of each kind of key carried out late over two leaders and a cancellation; halts held over a change of leaders; tasks of one job that end under three leaders.

--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -6,10 +6,11 @@
 import pytest
 
 from micadeal.http.message import Request
+from micadeal.wire.codec import decode
 from tests.fakes import state as state_fake
 from tests.fakes.histories import PAIRS, History
-from tests.fakes.network import REFUSE
-from tests.fakes.world import CANCEL_S, World
+from tests.fakes.network import HOLD, REFUSE, SILENT
+from tests.fakes.world import CANCEL_S, LEASE_S, World
 
 #: Until every controller has heard the others speak for so long that it may stand in.
 SETTLED = CANCEL_S + 4
@@ -124,3 +125,219 @@
         assert (status, found["script"]) == (200, "# newer")
 
     World().play(monkeypatch, story)
+
+
+# -- a leader ends while machines can't be reached, or don't hear the next one -------------------
+
+
+@pytest.mark.parametrize("for_s", [4.5, LEASE_S + 14])
+@pytest.mark.parametrize("how", ["out of reach", "deaf", "held"])
+def test_the_leader_ends_while_machines_with_long_tasks_are_out_of_touch(
+    monkeypatch: pytest.MonkeyPatch, how: str, for_s: float
+) -> None:
+    """Within a lease nothing is lost; after it each task is begun once more, and what was cancelled
+    meanwhile is gone in time.  The machines are of use again, or returned."""
+
+    async def story(world: World) -> None:
+        stays, doomed = await two_jobs(world)
+        array = await world.run_job("array", 3, run_s=50.0, crew="red")
+        await world.until(lambda: world.running(array) == 3)
+        leader = leader_of(world)
+        machines = {w.name for w, _ in (*world.held(array), *world.held(doomed)[:2])}
+        pairs = [(name, f"c{n}") for name in machines for n in range(3)]
+        if how == "deaf":
+            world.network.deaf |= machines
+        else:
+            for pair in pairs:
+                world.network.cut(*pair, HOLD if how == "held" else SILENT)
+        world.crash(leader)
+        await curio.sleep(2)
+        assert await world.cancel(doomed, (leader + 1) % 3) == "cancelled"
+        await curio.sleep(for_s - 2)
+        world.network.deaf.clear()
+        for pair in pairs:
+            await world.network.heal(*pair)
+        await world.until_done(array)
+        await world.until(lambda: world.running(stays) == 3 and not world.held(doomed))
+        after = await world.run_job("array", 4, run_s=5.0, crew="blue")
+        await world.until_done(after)
+        lost = {world.starts[f"{array}/{index}"] for index in range(3)}
+        assert lost == {1} if for_s < LEASE_S else lost <= {1, 2}
+
+    World().play(monkeypatch, story)
+
+
+# -- controllers hand over and back, all end, one returns ---------------------------------------
+
+
+@pytest.mark.parametrize("back_in", [0.05, 0.6])
+def test_leaders_follow_each_other_within_a_second_and_nothing_is_begun_twice(
+    monkeypatch: pytest.MonkeyPatch, back_in: float
+) -> None:
+    """Hand over and back, a crash in the middle of the election, all at once: attempts, tokens,
+    held reports and answers of the processes before mean nothing to those after them."""
+
+    async def story(world: World) -> None:
+        stays, doomed = await two_jobs(world)
+        jobs = [await world.run_job("array", 2, run_s=45.0, crew="red") for _ in range(2)]
+        for number in (0, 1, 2, 0):
+            leader = leader_of(world)
+            await world.nodes[leader].retire()
+            world.crash(leader)
+            await curio.sleep(back_in)
+            await world.start(leader)
+            await curio.sleep(0.2)
+            # In the middle of the election that follows.
+            other = (leader + 1 + number % 2) % 3
+            world.crash(other)
+            await curio.sleep(back_in)
+            await world.start(other)
+            await world.until(lambda: world.leader() is not None, limit=10)
+        for number in range(3):
+            world.crash(number)
+        await world.start(1)
+        await world.until(lambda: world.leader() == 1, limit=10)
+        # Nobody else can hear of it: it is not told before its tasks are gone.
+        assert await world.cancel(doomed, 1) is None or not world.held(doomed)
+        await world.start(0)
+        await world.start(2)
+        await curio.sleep(2)
+        assert await world.cancel(doomed, 0) == "cancelled"
+        for job in jobs:
+            await world.until_done(job)
+        assert world.running(stays) == 3 and not world.held(doomed)
+
+    world = World().play(monkeypatch, story)
+    assert max(world.starts.values()) == 1
+
+
+# -- transactions that are carried out after newer ones ------------------------------------------
+
+
+@pytest.mark.parametrize(
+    "kind", ["job/", "end/", "placed/", "finished/", "images/", "seat/", "leader"]
+)
+def test_transactions_of_each_kind_are_carried_out_late(
+    monkeypatch: pytest.MonkeyPatch, kind: str
+) -> None:
+    """Half of those that write a key of the kind get no answer and come after newer ones, over two
+    changes of leaders and a cancellation."""
+
+    async def story(world: World) -> None:
+        stays, doomed = await two_jobs(world)
+        count = 0
+
+        def late(source: str, address: str, request: Request) -> float | None:
+            nonlocal count
+            if request.path != "/txn":
+                return None
+            changes = decode(dict, request.body)["then"]
+            if not any(c.get("put", c.get("drop", "")).startswith(kind) for c in changes):
+                return None
+            count += 1
+            return 3.0 + count % 9 if count % 2 else None
+
+        world.network.late = late
+        jobs = [
+            await world.run_job("array", 3, run_s=4.0 + 9 * n, crew="red", image_gb=0.5)
+            for n in range(3)
+        ]
+        await curio.sleep(6)
+        for _ in range(2):
+            leader = leader_of(world)
+            world.crash(leader)
+            await curio.sleep(0.7)
+            await world.start(leader)
+            await world.until(lambda: world.leader() is not None, limit=30)
+            await curio.sleep(6)
+        for attempt in range(30):
+            if await world.cancel(doomed, attempt % 3):
+                break
+            await curio.sleep(1)
+        for job in jobs:
+            await world.until_done(job)
+        assert count
+        await world.until(lambda: not world.held(doomed), limit=CANCEL_S)
+        await curio.sleep(15)
+        for number in range(3):
+            assert await world.status(doomed, number) == "cancelled"
+            assert {await world.status(job, number) for job in jobs} == {"done"}
+        assert world.running(stays) == 3
+
+    World().play(monkeypatch, story)
+
+
+# -- commands that are held up -------------------------------------------------------------------
+
+
+def test_commands_are_held_for_seconds_and_the_machines_go_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Halts come when what they were for is over, under a later leader as well: they stop what they
+    name and nothing else."""
+
+    async def story(world: World) -> None:
+        stays, doomed = await two_jobs(world)
+        gang = await world.run_job("gang", 2, run_s=30.0, bookmark_s=5.0, stow_s=1.0, crew="red")
+        await world.until(lambda: world.running(gang) == 2)
+        leader = leader_of(world)
+        machines = sorted({w.name for w, _ in world.held()})
+        for name in machines:
+            world.network.cut(name, f"c{leader}", HOLD)
+        for worker in list(world.fleet.workers.values())[::2]:
+            worker.hanging = True
+        assert await world.cancel(doomed, (leader + 1) % 3) == "cancelled"
+        await curio.sleep(9)
+        world.crash(leader)
+        await curio.sleep(2)
+        await world.start(leader)
+        for name in machines:
+            await world.network.heal(name, f"c{leader}")
+        for worker in world.fleet.workers.values():
+            worker.hanging = False
+        await world.until(lambda: not world.held(doomed), limit=8)
+        await world.until_done(gang)
+        await world.until(lambda: world.running(stays) == 3)
+
+    World().play(monkeypatch, story)
+
+
+# -- jobs of few tasks that end far apart --------------------------------------------------------
+
+
+def test_tasks_of_one_job_end_under_three_leaders(monkeypatch: pytest.MonkeyPatch) -> None:
+    """``done`` neither before the last has ended nor never: results are kept by their machines, in
+    records that come late, or are had anew from machines that are gone."""
+
+    async def story(world: World) -> None:
+        stays = await world.run_job("daemon", 3, scatter=True, rank="production")
+        job = await world.run_job("array", 3, run_s=9.0, crew="blue")
+        await world.until(lambda: world.running(job) == 3)
+        # The others take longer: their machines stand still meanwhile.
+        slow = [worker for worker, _ in world.held(job)][1:]
+        slow[1].hanging = True
+        gone = leader_of(world)
+        await world.until(lambda: f"{job}/0" in world.done, limit=20)
+        world.network.late = lambda source, address, request: (
+            7.0 if request.path == "/txn" and b"finished/" in request.body else None
+        )
+        await curio.sleep(2)
+        world.crash(gone)
+        await world.start(gone)
+        first = world.held(job)
+        assert await world.status(job, (gone + 1) % 3) != "done"
+        await curio.sleep(4)
+        slow[1].hanging = False
+        await world.until(lambda: world.leader() is not None, limit=10)
+        second = leader_of(world)
+        await world.until(lambda: not world.held(job) or len(world.held(job)) < len(first))
+        world.crash(second)
+        await curio.sleep(1)
+        await world.start(second)
+        world.network.late = None
+        await world.until_done(job)
+        for number in range(3):
+            assert await world.status(job, number) == "done"
+        assert world.running(stays) == 3
+
+    World().play(monkeypatch, story)
