A controller that was started a moment ago trusts lists that old controllers keep

Cause: whether another controller keeps a list of cancellations was counted from when we heard it first. Change: a process speaks with words from its start on or never, so its age counts. Noted: where all controllers were started less than cancel_s ago and a cancellation is told right before an outage, the leader's answers end after cancel_s - lease_s, and tasks with their leases.

--- a/bench/model_standin.py
+++ b/bench/model_standin.py
@@ -314,6 +314,8 @@
     informed_by_election: bool = False
     stops_by_picture: bool = False
     early_notices_lost: bool = False
+    #: That no cancellation can be unknown.
+    answers_for_ever: bool = False
     #: To a controller about itself, to a leader about the others, and to all about what is said.
     of_itself: Change | None = None
     of_others: Change | None = None
@@ -357,6 +359,7 @@
     ),
     "others know of a cancellation before it is told": Guard(Lies(tells_alone=True)),
     "lists of cancellations come with words": Guard(Lies(of_words=lambda said: (*said[:5], False))),
+    "a leader's answers end where cancellations may be unknown": Guard(Lies(answers_for_ever=True)),
     "being elected is no knowledge of what is cancelled": Guard(
         Lies(informed_by_election=True), reading=True
     ),
@@ -503,7 +506,7 @@
         heard = state._replace(nodes=_with(state, 0, _listed(node)), picture=READ)
         yield "the leader hears of the cancellation", heard
     informed = state.informed if has_picture or lies.informed_by_election else None
-    if _renews(believed, informed):
+    if lies.answers_for_ever or _renews(believed, informed):
         stops = listed and state.picture != MISLED
         if lies.stops_by_picture and not has_picture:
             stops = False
--- a/micadeal/leadership/standin.py
+++ b/micadeal/leadership/standin.py
@@ -139,11 +139,15 @@
             return View(asked=asked, quiet_until=quiet)
         # A consent says nothing without the list that goes with it.
         consent = word.consent if word.told else 0
+        born = now - word.age
+        # A process speaks with words from its start on or never: who was started a moment ago
+        # itself need not hear an old one for long to know that.
+        since = min(asked, born) if self.speaks_since is None else self.speaks_since
         return View(
             asked=asked,
-            speaks_since=asked if self.speaks_since is None else self.speaks_since,
+            speaks_since=since,
             quiet_until=quiet,
-            born=now - word.age,
+            born=born,
             consent=consent,
             consent_until=asked + timing.consent - timing.slack if consent else None,
             bound_token=word.bound_token,
--- a/tests/fakes/earlier.py
+++ b/tests/fakes/earlier.py
@@ -27,6 +27,8 @@
 UNKNOWN_FIELDS |= {"word"}
 #: Fields that came with levels.
 LEVEL_FIELDS = {"process", "level", "term", "highest_level"}
+#: And after them.
+LEVEL_FIELDS |= {"reading"}
 #: Where the earlier version neither reads nor writes.
 UNKNOWN_KEYS = ("finished/", "part/", "leaving/")
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -144,6 +144,37 @@
     World().play(monkeypatch, story)
 
 
+def test_a_leader_that_was_started_a_moment_ago_answers_by_the_lists_of_the_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards work: it was elected after a crash and reads nothing, since nobody has the state
+    service.  The others are old enough to have kept lists for long, whoever heard them do so."""
+
+    async def story(world: World) -> None:
+        stays, doomed = await two_jobs(world)
+        old = leader_of(world)
+        later, other = (old + 1) % 3, (old + 2) % 3
+        world.network.slow = lambda source, address, request: (
+            60.0 if request.path == "/keys" and "starts=job/" in request.query else 0.0
+        )
+        world.crash(later)
+        await curio.sleep(1)
+        await world.start(later)
+        await curio.sleep(3)
+        assert await world.cancel(doomed, other) == "cancelled"
+        world.network.cut(f"c{other}", "state", REFUSE)
+        world.crash(old)
+        await world.until(lambda: world.leader() == later)
+        world.state.outage = True
+        await curio.sleep(6)
+        await world.start(old)
+        await curio.sleep(CANCEL_S + 2)
+        assert not world.held(doomed)
+        assert world.running(stays) == 3
+
+    World().play(monkeypatch, story)
+
+
 def test_settings_that_were_never_answered_undo_no_newer_ones(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
