An answer to a report that is no news stops what is known to be cancelled too

Reading over: the answer renews the lease all the same. It costs a look at the list where there are no other orders. Stories of meetings and of contact pass.

--- a/micadeal/controller/dispatcher.py
+++ b/micadeal/controller/dispatcher.py
@@ -382,9 +382,7 @@
         power = self._power()
         if power is Power.NONE:
             return Reply(503)
-        # Until the records have come there is no picture: what is known by lists is stopped all the
-        # same.  Guards ``ran_cancelled`` where they can't be read for long.
-        orders = stops(report, self._intake.cancelled)
+        orders = None
         if self._loaded:
             full = power is Power.FULL
             if report.machine in self._cluster.gone:
@@ -392,7 +390,11 @@
             # An old report is answered as well: one that an answer to a command has overtaken may
             # be the worker's last.  It counts for nothing: the lease that the answer may renew
             # counts from before the newer message, whose receipt is known (fleet/contact.py).
-            orders = self._scheduler.on_report(report, now, checkin=True, full=full) or []
+            orders = self._scheduler.on_report(report, now, checkin=True, full=full)
+        if orders is None:
+            # Without a picture, or news for it, what is known by lists is stopped all the same.
+            # Guards ``ran_cancelled`` where the records can't be read for long.
+            orders = stops(report, self._intake.cancelled)
         return Reply(200, Orders(self.token, orders))
 
     def _direct_answer(
