--- a/micadeal/leadership/term.py
+++ b/micadeal/leadership/term.py
@@ -10,6 +10,9 @@
 
 #: For answers under way, timers that fire late, and leases that end a little late.
 MARGIN = timedelta(seconds=2.5)
+#: So long a leader in touch may hear nothing of the jobs: a watch comes back every two seconds, one
+#: on a connection that was cut is given up after four.
+LAG = timedelta(seconds=5)
 
 
 class Power(Enum):
@@ -73,6 +76,10 @@
             ]
             if len(silent) == len(peers):
                 known.append(min(silent))
-        if not known or now >= max(known) + grace:
+        if not known:
             return Power.NONE
-        return Power.FULL if now < self.valid_until else Power.RENEW_ONLY
+        if now < self.valid_until:
+            # Where a cancellation has hardly more time than a lease, the ordinary age of what is
+            # known would do: a leader in touch must not stop answering for that.
+            return Power.FULL if now < max(known) + max(grace, LAG) else Power.NONE
+        return Power.RENEW_ONLY if now < max(known) + grace else Power.NONE
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -132,6 +132,22 @@
     assert power(40, heard, told) is Power.NONE
 
 
+def test_a_lease_of_the_state_service_is_no_knowledge_of_cancellations() -> None:
+    """Guards ``ran_cancelled`` where renewals come back and nothing of the jobs does; and answers
+    to workers where a cancellation has hardly more time than a worker's lease."""
+    for cancel, most in ((34, 17.4), (18, 5.0)):
+        term = Term(token=5, lease=1, valid_until=seconds(99), informed=seconds(8))
+        powers = [
+            term.power(seconds(8 + lag), [], seconds(14), seconds(cancel))
+            for lag in (most - 0.1, most + 0.1)
+        ]
+        assert powers == [Power.FULL, Power.NONE]
+    unread = Term(token=5, lease=1, valid_until=seconds(99), informed=None)
+    told_by = seconds(8)
+    assert unread.power(seconds(9), [], seconds(14), seconds(34)) is Power.NONE
+    assert unread.power(seconds(9), [], seconds(14), seconds(34), told_by) is Power.FULL
+
+
 def test_a_worker_that_comes_back_is_relayed() -> None:
     gate = Gate()
     assert gate.way("m", leading=False, leader=None, now=seconds(1)) is Way.NOWHERE
