--- a/micadeal/controller/dispatcher.py
+++ b/micadeal/controller/dispatcher.py
@@ -306,6 +306,7 @@
             case Loaded():
                 self._intake.take_over(message, now)
                 self._loaded = True
+                self._informed(message.asked)
             case NewSettings(item):
                 self._intake.settings(item)
             case CatalogRead(types):
--- a/micadeal/controller/feeds.py
+++ b/micadeal/controller/feeds.py
@@ -90,14 +90,12 @@
         """Read everything, then follow what changes."""
         while True:
             try:
-                asked = steady()
                 loaded, revision = await self._read_all()
                 break
             except StateError as problem:
                 log.info("loading: %s", problem)
                 await sleep(seconds(0.3))
         await self._tell(loaded)
-        await self._tell(JobEvents([], asked, {}))
         await self._helpers.spawn(self._follow_settings, revision)
         await self._follow_jobs(revision)
 
@@ -105,6 +103,7 @@
         """What only leaders change is read all at once: nobody else leads.  Parts of descriptions
         are read after the jobs that they belong to, or one that was just accepted would lack
         them."""
+        asked = steady()
         older = (OLD_PLACED, DONE) if self._oldest < Level.FENCED else ()
         prefixes = (PLACED, IMAGES, LEAVING, FINISHED, *older)
         found: dict[str, list[Item] | StateError] = {}
@@ -139,6 +138,7 @@
             parts,
             await self._ended(jobs, placed),
             settings,
+            asked,
         )
         return loaded, revision
 
--- a/micadeal/controller/messages.py
+++ b/micadeal/controller/messages.py
@@ -87,6 +87,8 @@
     parts: list[Item]
     ended: dict[str, EndRecord]
     settings: Item | None
+    #: When the reads began.
+    asked: timedelta
 
 
 @dataclass(frozen=True, slots=True)
