--- a/tests/fakes/histories.py
+++ b/tests/fakes/histories.py
@@ -20,10 +20,8 @@
 from tests.fakes import state as state_fake
 from tests.fakes.network import HOLD, REFUSE, SILENT
 from tests.fakes.workers import FakeWorker
-from tests.fakes.world import CANCEL_S, World
+from tests.fakes.world import CANCEL_S, SETTLED, World
 
-#: Until controllers may stand in for each other.
-SETTLED = CANCEL_S + 4
 #: Troubles of a history begin within this time, in seconds.
 TOGETHER = 12.0
 #: What is left when all troubles are over has to be done within this time.
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -30,6 +30,8 @@
 CANCEL_S = 34.0
 #: A job about which no question is answered for so long is forgotten.
 FORGOTTEN_S = 75.0
+#: Until every controller has heard the others speak for so long that it may stand in.
+SETTLED = CANCEL_S + 4
 
 
 #: What the state service announces that it will take.
@@ -398,3 +400,9 @@
         for team, limit in self.limits.items():
             if used[team] > limit + 1e-9:
                 self.broken.append(f"quota {team}")
+
+
+def leader_of(world: World) -> int:
+    leader = world.leader()
+    assert leader is not None
+    return leader
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -14,7 +14,7 @@
 from micadeal.http.message import Request
 from micadeal.wire.codec import decode
 from tests.fakes.workers import FakeWorker
-from tests.fakes.world import LEASE_S, World
+from tests.fakes.world import LEASE_S, World, leader_of
 
 #: A lease, the time after it in which a silent machine is returned, and a start elsewhere.
 MOVED_IN = LEASE_S + 10
@@ -24,12 +24,6 @@
     return [worker for worker, _ in world.held(job)]
 
 
-def _leader(world: World) -> int:
-    leader = world.leader()
-    assert leader is not None
-    return leader
-
-
 # -- machines that are heard and hear nothing ----------------------------------------------
 
 
@@ -42,7 +36,7 @@
         await world.until(lambda: world.running(service) == 3)
         deaf = _workers_of(world, service)[0]
         world.network.deaf.add(deaf.name)
-        leader = _leader(world)
+        leader = leader_of(world)
         if trouble == "crash":
             world.crash(leader)
         world.state.outage = trouble == "outage"
@@ -94,7 +88,7 @@
         world.network.deaf |= {w.name for w in world.fleet.workers.values() if w.zone == zone}
         assert await world.cancel(gang, 1) == "cancelled"
         await curio.sleep(3)
-        world.crash(_leader(world))
+        world.crash(leader_of(world))
         await world.until(lambda: not world.held(gang), limit=30)
         await curio.sleep(LEASE_S)
         await world.until(lambda: world.running(service) == 4, limit=60)
@@ -150,7 +144,7 @@
         world.cloud.take(dead.name)
         await world.until(lambda: world.running(service) == 4, limit=MOVED_IN)
         world.cloud.take(_workers_of(world, array)[0].name)
-        world.crash(_leader(world))
+        world.crash(leader_of(world))
         await world.until(lambda: world.running(service) == 4, limit=MOVED_IN)
         late = await world.run_job("array", 2, run_s=5.0)
         await world.until_done(late)
@@ -181,15 +175,15 @@
             r for r in kept if any(t["status"] == "running" for t in decode(dict, r.body)["legs"])
         ]
         await world.until(lambda: gone.name in world.cloud.releases)
-        old = _leader(world)
+        old = leader_of(world)
         world.crash(old)
         await world.until(lambda: world.leader() not in (None, old), limit=10)
         await curio.sleep(1)
-        leader = f"10.0.0.{_leader(world) + 1}:8080"
+        leader = f"10.0.0.{leader_of(world) + 1}:8080"
         for number in range(5):
             await world.network.request("late", leader, shown[-1 - number % 2], seconds(4))
             await curio.sleep(2)
-        found = (await world.call(_leader(world), "GET", "/overview"))[1]
+        found = (await world.call(leader_of(world), "GET", "/overview"))[1]
         assert sum(line["up"] + line["booting"] for line in found["machines"]) == len(
             world.cloud.machines
         )
@@ -232,7 +226,7 @@
         service = await world.run_job("daemon", 3, scatter=True, rank="production")
         array = await world.run_job("array", 2, run_s=30.0, crew="blue")
         await world.until(lambda: world.running(service) == 3 and world.running(array) == 2)
-        leader = _leader(world)
+        leader = leader_of(world)
         world.crash(leader)
         await curio.sleep(0.3)
         await world.start(leader)
@@ -262,7 +256,7 @@
         service = await world.run_job("daemon", 4, scatter=True, rank="production")
         gang = await world.run_job("gang", 2, run_s=300.0, crew="blue")
         await world.until(lambda: world.running(service) == 4 and world.running(gang) == 2)
-        leader = _leader(world)
+        leader = leader_of(world)
         alone = leader if leads else (leader + 1) % 3
         rest = [n for n in range(3) if n != alone]
         for other in ("state", *(f"c{n}" for n in rest)):
@@ -399,7 +393,7 @@
         ]
         report = worker._report()
         report["legs"] = report["legs"] + odd
-        assert (await world.call(_leader(world), "POST", "/checkin", report))[0] == 200
+        assert (await world.call(leader_of(world), "POST", "/checkin", report))[0] == 200
         await world.until_done(job)
 
     World().play(monkeypatch, story)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -10,16 +10,7 @@
 from tests.fakes import state as state_fake
 from tests.fakes.histories import PAIRS, History
 from tests.fakes.network import HOLD, REFUSE, SILENT
-from tests.fakes.world import CANCEL_S, LEASE_S, World
-
-#: Until every controller has heard the others speak for so long that it may stand in.
-SETTLED = CANCEL_S + 4
-
-
-def leader_of(world: World) -> int:
-    leader = world.leader()
-    assert leader is not None
-    return leader
+from tests.fakes.world import CANCEL_S, LEASE_S, SETTLED, World, leader_of
 
 
 async def two_jobs(world: World) -> tuple[str, str]:
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -17,10 +17,7 @@
 from micadeal.leadership.standin import Timing
 from micadeal.wire import mesh
 from micadeal.wire.codec import BadMessage, encode
-from tests.fakes.world import CANCEL_S, LEASE_S, World
-
-#: Until every controller has heard the others speak for so long that it may stand in.
-SETTLED = CANCEL_S + 4
+from tests.fakes.world import CANCEL_S, LEASE_S, SETTLED, World, leader_of
 
 
 async def _services(world: World, tasks: int = 3) -> str:
@@ -31,12 +28,6 @@
     return service
 
 
-def _leader(world: World) -> int:
-    leader = world.leader()
-    assert leader is not None
-    return leader
-
-
 def _all_once(world: World, service: str) -> bool:
     tasks = [task for task in world.starts if task.startswith(f"{service}/")]
     return bool(tasks) and all(world.starts[task] == 1 for task in tasks)
@@ -48,7 +39,7 @@
 ) -> None:
     async def story(world: World) -> None:
         service = await _services(world)
-        leader = _leader(world)
+        leader = leader_of(world)
         world.state.outage = True
         await curio.sleep(10)
         world.crash(leader)
@@ -70,7 +61,7 @@
 
     async def story(world: World) -> None:
         service = await _services(world)
-        leader = _leader(world)
+        leader = leader_of(world)
         others = [(leader + 1) % 3, (leader + 2) % 3]
         world.state.outage = True
         await curio.sleep(5)
@@ -102,7 +93,7 @@
 
     async def story(world: World) -> None:
         service = await _services(world)
-        leader = _leader(world)
+        leader = leader_of(world)
         inside, other = (leader + 1) % 3, (leader + 2) % 3
         apart = world.held(service)[0][0]
         for number in (leader, other):
@@ -128,7 +119,7 @@
 
     async def story(world: World) -> None:
         service = await _services(world)
-        leader = _leader(world)
+        leader = leader_of(world)
         others = [(leader + 1) % 3, (leader + 2) % 3]
         for other in others:
             world.network.cut(f"c{other}", f"c{leader}")
@@ -159,7 +150,7 @@
         service = await _services(world)
         doomed = await world.run_job("daemon", 2, crew="blue")
         await world.until(lambda: world.running(doomed) == 2)
-        leader = _leader(world)
+        leader = leader_of(world)
         for worker, _ in world.held(doomed):
             world.network.cut(worker.name, f"c{leader}")
         # Its notice reaches one of the followers only.
@@ -185,7 +176,7 @@
     async def story(world: World) -> None:
         job = await world.run_job("daemon", 2)
         await world.until(lambda: world.running(job) == 2)
-        leader = _leader(world)
+        leader = leader_of(world)
         for other in ((leader + 1) % 3, (leader + 2) % 3):
             world.network.cut(f"c{leader}", f"c{other}")
         worker, _ = world.held(job)[0]
@@ -213,7 +204,7 @@
         service = await _services(world)
         array = await world.run_job("array", 3, run_s=50.0)
         await world.until(lambda: world.running(array) == 3)
-        leader = _leader(world)
+        leader = leader_of(world)
         other = (leader + 1) % 3
         world.network.cut(f"c{leader}", "state", "hold")
         world.network.cut(f"c{other}", f"c{leader}", "hold")
@@ -243,7 +234,7 @@
         service = await _services(world)
         spot = await world.run_job("array", 2, run_s=300.0, loaners=True, crew="blue")
         await world.until(lambda: world.running(spot) == 2)
-        leader = _leader(world)
+        leader = leader_of(world)
         world.state.outage = True
         await curio.sleep(2)
         world.crash(leader)
@@ -272,13 +263,13 @@
 
     async def story(world: World) -> None:
         await world.until(lambda: world.leader() is not None, limit=10)
-        earlier = (_leader(world) + 1) % 3
+        earlier = (leader_of(world) + 1) % 3
         world.crash(earlier)
         await world.start(earlier, earlier=True)
         service = await _services(world)
         world.state.outage = True
         await curio.sleep(3)
-        world.crash(_leader(world))
+        world.crash(leader_of(world))
         await curio.sleep(LEASE_S * 2)
         assert world.running(service) == 0
         world.state.outage = False
@@ -290,7 +281,7 @@
         await curio.sleep(SETTLED)
         world.state.outage = True
         await curio.sleep(3)
-        world.crash(_leader(world))
+        world.crash(leader_of(world))
         await curio.sleep(LEASE_S * 2)
         assert world.running(service) == 3
         world.state.outage = False
@@ -341,7 +332,7 @@
 
     async def story(world: World) -> None:
         await curio.sleep(3)
-        node = world.nodes[_leader(world)]
+        node = world.nodes[leader_of(world)]
         dispatcher = node._dispatcher
         assert dispatcher is not None
         heard: list[Any] = []
