--- a/bench/model_standin.py
+++ b/bench/model_standin.py
@@ -1,6 +1,6 @@
 """Explores every course of a small world in which followers may stand in for a leader.
 
-    python3 -m bench.model_standin [--crashes 1] [--delayed 1]
+    python3 -m bench.model_standin [--crashes 1] [--delayed 1] [--reading]
     python3 -m bench.model_standin --guards
 
 Three controllers, one worker with one task.  The code under test is the real one: a controller is
@@ -8,7 +8,9 @@
 steps of a second; between two steps anything may happen or not: any controller asks any other (a
 message that does not happen is a cut), answers are held and come late, controllers crash and are
 back at once, the worker reports to whomever it likes, some controller tells that the job is
-cancelled, the leader counts the lease as over.  States are told apart only by what can still
+cancelled, the leader counts the lease as over.  ``--reading``: the leader was elected a moment ago
+and its first reads of the records are before it; they may fail, or come late and be older than a
+cancellation.  States are told apart only by what can still
 matter, so the search ends by itself: it prints how many states can be reached.
 
 A guard that is switched off is a lie to the code under test (``GUARDS``); each must break a rule.
@@ -60,6 +62,11 @@
 Flight = tuple[int, int, int, int, Said]
 
 
+#: The leader has read nothing; records in which the job is alive are on their way; it has a
+#: picture, and its list counts; it takes the job for alive whatever the list says (a lie).
+UNREAD, UNDER_WAY, READ, MISLED = range(4)
+
+
 class State(NamedTuple):
     nodes: tuple[Node, Node, Node]
     #: Controller 0 still leads the term that it led at the start.
@@ -71,6 +78,8 @@
     renewed: int
     #: When a user was told "cancelled".
     told: int | None
+    #: What the leader has read of the records.
+    picture: int
     crashes: int
     flights: tuple[Flight, ...]
 
@@ -200,6 +209,7 @@
         nodes=(first, one, other),
         heard=state.heard if led else 0,
         informed=state.informed if led else 0,
+        picture=state.picture if led else READ,
         flights=tuple(sorted(flights)),
     )
 
@@ -275,9 +285,11 @@
 
 
 @cache
-def _renews(node: Node, informed: int) -> bool:
-    """Whether a leader without touch with the state service answers the worker."""
-    term = Term(TOKEN, 1, NOW - seconds(1), NOW + seconds(informed))
+def _renews(node: Node, informed: int | None) -> bool:
+    """Whether a leader that hears nothing of the jobs answers the worker; ``informed``: when it
+    last did, None: never."""
+    known = None if informed is None else NOW + seconds(informed)
+    term = Term(TOKEN, 1, NOW - seconds(1), known)
     told_by = _unpack(node).all_cancellations_by(NOW)
     power = term.power(NOW, [None], TIMING.lease_over, TIMING.cancel, told_by)
     return power is Power.RENEW_ONLY
@@ -297,6 +309,11 @@
     tells_alone: bool = False
     dated_by_receipt: bool = False
     consents_endless: bool = False
+    #: That nothing was cancelled before it was elected; that only its picture says what to stop;
+    #: that a notice which came before the records is of no use after them.
+    informed_by_election: bool = False
+    stops_by_picture: bool = False
+    early_notices_lost: bool = False
     #: To a controller about itself, to a leader about the others, and to all about what is said.
     of_itself: Change | None = None
     of_others: Change | None = None
@@ -314,6 +331,7 @@
     lies: Lies
     crashes: int = 0
     delayed: int = 0
+    reading: bool = False
     #: It takes hundreds of thousands of states to find.
     large: bool = False
 
@@ -339,6 +357,15 @@
     ),
     "others know of a cancellation before it is told": Guard(Lies(tells_alone=True)),
     "lists of cancellations come with words": Guard(Lies(of_words=lambda said: (*said[:5], False))),
+    "being elected is no knowledge of what is cancelled": Guard(
+        Lies(informed_by_election=True), reading=True
+    ),
+    "what is on the list is stopped before the records are read": Guard(
+        Lies(stops_by_picture=True), reading=True
+    ),
+    "a notice that comes before the records holds after them": Guard(
+        Lies(early_notices_lost=True), reading=True
+    ),
     "what a restart has lost from the list is asked for": Guard(
         Lies(of_words=lambda said: (said[0], True, *said[2:])), crashes=1, large=True
     ),
@@ -467,21 +494,50 @@
         # The task would be started elsewhere, and it is still here.
         raise Broken("ran_twice")
     listed = _nodes[node][5]
-    if state.told is None:
+    yield from _reads(state, lies, listed)
+    has_picture = state.picture in (READ, MISLED)
+    if state.told is None and has_picture:
         yield "the leader answers, in touch", state._replace(heard=0, informed=0, renewed=0)
-    elif not listed:
+    elif has_picture and not (listed and state.picture == READ):
         # The watch tells it; the task is stopped with the next answer.
-        heard = state._replace(nodes=_with(state, 0, _listed(node)))
+        heard = state._replace(nodes=_with(state, 0, _listed(node)), picture=READ)
         yield "the leader hears of the cancellation", heard
-    if _renews(believed, state.informed):
+    informed = state.informed if has_picture or lies.informed_by_election else None
+    if _renews(believed, informed):
+        stops = listed and state.picture != MISLED
+        if lies.stops_by_picture and not has_picture:
+            stops = False
         answered = state._replace(heard=0, renewed=0)
-        yield "the leader answers, out of touch", None if listed else answered
+        yield "the leader answers, out of touch", None if stops else answered
+
+
+def _reads(state: State, lies: Lies, listed: bool) -> Iterator[tuple[str, State]]:
+    """The first reads of a leader: answered by the service, and come to it, in two steps."""
+    if state.picture == UNREAD:
+        if state.told is None:
+            read = state._replace(picture=UNDER_WAY, informed=0)
+            yield "the leader's records are read, the job is alive", read
+        else:
+            nodes = _with(state, 0, _listed(state.nodes[0]))
+            read = state._replace(picture=READ, informed=0, nodes=nodes)
+            yield "the leader reads its records, the job is cancelled", read
+    elif state.picture == UNDER_WAY:
+        lost = listed and lies.early_notices_lost
+        yield "the records come", state._replace(picture=MISLED if lost else READ)
 
 
-def start(crashes: int) -> State:
+def starts(crashes: int, reading: bool) -> list[State]:
+    """A leader that has been there for long; or one elected just now, when nothing was cancelled
+    yet or a job was a while ago, as two others know."""
     view = (None, OLD, None, OLD, 0, None, 0, None, OLD)
     node = _number((OLD, TOKEN, 0, 0, None, False, (view, view)))
-    return State((node, node, node), True, 0, 0, 0, None, crashes, ())
+    quiet = State((node, node, node), True, 0, 0, 0, None, READ, crashes, ())
+    if not reading:
+        return [quiet]
+    elected = quiet._replace(picture=UNREAD)
+    knows = _listed(node)
+    before = elected._replace(nodes=(node, knows, knows), told=LEASE - CANCEL, renewed=-1)
+    return [elected, before]
 
 
 @dataclass(frozen=True, slots=True)
@@ -494,12 +550,18 @@
     way: tuple[str, ...] = ()
 
 
-def explore(crashes: int = 0, delayed: int = 0, lies: Lies | None = None, most: int = 0) -> Outcome:
+def explore(
+    crashes: int = 0,
+    delayed: int = 0,
+    lies: Lies | None = None,
+    most: int = 0,
+    reading: bool = False,
+) -> Outcome:
     """All states, breadth first; ``most``: give up looking beyond so many (0: never)."""
     late = delayed > 0
-    first = _canonical(start(crashes), late)
-    came_from: dict[State, tuple[State, str] | None] = {first: None}
-    front = deque([first])
+    first = [_canonical(state, late) for state in starts(crashes, reading)]
+    came_from: dict[State, tuple[State, str] | None] = dict.fromkeys(first)
+    front = deque(first)
     while front:
         if most and len(came_from) > most:
             return Outcome(len(came_from), False)
@@ -525,21 +587,22 @@
 @click.command()
 @click.option("--crashes", default=0, show_default=True, help="Crashes in one course.")
 @click.option("--delayed", default=0, show_default=True, help="Answers under way at once.")
+@click.option("--reading", is_flag=True, help="The leader was elected a moment ago.")
 @click.option(
     "--guards", is_flag=True, help="Switch each guard off in turn, each in its own world."
 )
 @click.option("--most", default=0, help="Give up beyond so many states (0: never).")
-def main(crashes: int, delayed: int, guards: bool, most: int) -> None:
+def main(crashes: int, delayed: int, reading: bool, guards: bool, most: int) -> None:
     """Print how many states there are, and how long it took; the way to a broken rule, if any."""
     if not guards:
-        _show("as it is", Guard(Lies(), crashes, delayed), most)
+        _show("as it is", Guard(Lies(), crashes, delayed, reading), most)
     for name, guard in GUARDS.items() if guards else ():
         _show(f"without: {name}", guard, most)
 
 
 def _show(name: str, guard: Guard, most: int) -> None:
     began = time.perf_counter()
-    found = explore(guard.crashes, guard.delayed, guard.lies, most)
+    found = explore(guard.crashes, guard.delayed, guard.lies, most, guard.reading)
     spent = time.perf_counter() - began
     rule = found.rule or ("no rule broken" if found.complete else "given up")
     click.echo(f"{name}: {found.states} states, {spent:.1f} s, {rule}")
--- a/micadeal/controller/dispatcher.py
+++ b/micadeal/controller/dispatcher.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from datetime import timedelta
 from typing import Any
@@ -49,7 +49,7 @@
 from micadeal.fleet.cloud import Cloud
 from micadeal.fleet.offers import Market
 from micadeal.http.network import Network
-from micadeal.leadership.standin import Timing, View, may_count_lease_over
+from micadeal.leadership.standin import Timing, View, may_count_lease_over, stops
 from micadeal.leadership.term import PeerContact, Power, Term
 from micadeal.operator.platform import Platform
 from micadeal.operator.policy import Policy
@@ -95,9 +95,10 @@
         network: Network,
         levels: Levels,
         timing: Timing | None = None,
+        cancelled: Iterable[str] = (),
     ) -> None:
         """``levels``: as of when the term began; ``timing``: of standing in for a leader, None:
-        nobody ever does."""
+        nobody ever does; ``cancelled``: jobs on our list of cancellations."""
         super().__init__(bound=2000)
         now = steady()
         self._platform = platform
@@ -126,6 +127,8 @@
         self._cascaded: timedelta | None = None
         self._helpers = Helpers()
         self._intake = Intake(self._scheduler, self._recorder)
+        for job_id in cancelled:
+            self._intake.job_cancelled(job_id, now)
         self._zones = Zones(platform.zones, platform.zone, now)
         self._raising = Raising(levels, state, term, self.ask, self.told_by_own)
         self._feeds = Feeds(state, cloud, self.told_by_own, self._helpers, levels.record.oldest)
@@ -144,6 +147,11 @@
     def token(self) -> int:
         return self._term.token
 
+    @property
+    def reading(self) -> bool:
+        """The records of earlier leaders have not all come yet."""
+        return not self._loaded
+
     # -- life ------------------------------------------------------------------------------
 
     async def run(self) -> None:
@@ -276,7 +284,7 @@
                 self._intake.jobs_read(items, now, parts)
                 self._informed(asked)
             case CancelNotice(job_id):
-                self._intake.job_over(job_id, now)
+                self._intake.job_cancelled(job_id, now)
             case EndRead(job_id, end):
                 self._reading.discard(job_id)
                 if end is None:
@@ -325,7 +333,9 @@
         return None
 
     def _informed(self, asked: timedelta) -> None:
-        self._term = replace(self._term, informed=max(self._term.informed, asked))
+        informed = self._term.informed
+        if informed is None or asked > informed:
+            self._term = replace(self._term, informed=asked)
 
     # -- jobs that wait for others ---------------------------------------------------------
 
@@ -360,7 +370,9 @@
         power = self._power()
         if power is Power.NONE:
             return Reply(503)
-        orders = []
+        # Until the records have come there is no picture: what is known by lists is stopped all the
+        # same.  Guards ``ran_cancelled`` where they can't be read for long.
+        orders = stops(report, self._intake.cancelled)
         if self._loaded:
             full = power is Power.FULL
             if report.machine in self._cluster.gone:
--- a/micadeal/controller/intake.py
+++ b/micadeal/controller/intake.py
@@ -30,6 +30,9 @@
 
 log = logging.getLogger(__name__)
 
+#: Cancelled jobs that are remembered: of more than a list of cancellations holds.
+MOST_CANCELLED = 3000
+
 
 class Intake:
     """Feeds one term's scheduler and recorder with records, as they are read and as they change."""
@@ -40,6 +43,8 @@
         self._recorder = recorder
         #: The highest level that the operators allow; None: any.
         self.highest_level: int | None = None
+        #: Jobs that are cancelled for certain, the latest last, whatever is read of them.
+        self.cancelled: dict[str, None] = {}
 
     def take_over(self, loaded: Loaded, now: timedelta) -> None:
         """Build the picture from all that the state service held when the term began."""
@@ -57,6 +62,9 @@
                 self._cluster.load_placed(placed.key, placed.record, now)
         for page in loaded.images:
             self._load_images(page, now)
+        # With all that may be on machines: it counts for its team until it is gone.
+        for job_id in [name for name in self.cancelled if name in self._cluster.jobs]:
+            self.job_over(job_id, now)
         for leaving in loaded.leaving:
             self._scheduler.return_again(self._recorder.load_leaving(leaving, now), now)
         for job in list(self._cluster.live_jobs()):
@@ -123,7 +131,25 @@
         if event.drop is not None:
             self.job_over(event.drop.removeprefix(JOBS), now)
         elif event.put is not None:
-            self._load_job(Item(event.put, event.value, event.version), now, parts)
+            self._job_there(Item(event.put, event.value, event.version), now, parts)
+
+    def _job_there(self, item: Item, now: timedelta, parts: Mapping[str, Item]) -> None:
+        self._load_job(item, now, parts)
+        job_id = item.key.removeprefix(JOBS)
+        if job_id in self.cancelled:
+            self.job_over(job_id, now)
+
+    def job_cancelled(self, job_id: str, now: timedelta) -> None:
+        """Told by another controller: sooner than the records say so, if they ever do.
+
+        Guards ``ran_cancelled``: records that were read before the job was over may still be on
+        their way, and whoever answers workers by the lists of cancellations must not take it for
+        alive because of them.
+        """
+        self.cancelled[job_id] = None
+        if len(self.cancelled) > MOST_CANCELLED:
+            del self.cancelled[next(iter(self.cancelled))]
+        self.job_over(job_id, now)
 
     def job_over(self, job_id: str, now: timedelta) -> None:
         self._recorder.job_over(self._cluster.jobs.get(job_id))
@@ -135,7 +161,7 @@
             if job.id not in present:
                 self.job_over(job.id, now)
         for item in items:
-            self._load_job(item, now, parts)
+            self._job_there(item, now, parts)
 
     def settings(self, item: Item | None) -> None:
         """Take operators' settings up; if they make no sense, those in force stay."""
--- a/micadeal/controller/node.py
+++ b/micadeal/controller/node.py
@@ -202,6 +202,7 @@
                     self._network,
                     self._levels,
                     self._timing,
+                    () if self._standing is None else self._standing.told(),
                 )
                 self._mesh.leading_token = term.token
                 self._term_task = await curio.spawn(self._dispatcher.run, daemon=True)
@@ -362,12 +363,15 @@
             return error(400, str(problem))
         tried = self._leader
         answered = await self._answer_report(report)
-        if answered.status != 503 or self._dispatcher is not None or not self._in_touch():
+        if answered.status != 503 or not self._in_touch():
+            return answered
+        if self._dispatcher is not None and not self._dispatcher.reading:
             return answered
         return await self._hold(report, tried, answered)
 
     async def _hold(self, report: Report, tried: str | None, refused: Answer) -> Answer:
-        """Keep a report that nobody can answer until another leader is known, for a short time.
+        """Keep a report that nobody can answer until another leader is known, or we have read the
+        records as one, for a short time.
 
         Guards against seconds without room after a leader's crash: a worker that is refused while
         the election still goes on tries the next controller, and if that one is out of its reach
@@ -381,7 +385,11 @@
         try:
             while steady() < until:
                 await sleep(HOLD_LOOK)
-                if self._dispatcher is not None or self._leader not in (None, tried):
+                if self._dispatcher is not None:
+                    if self._dispatcher.reading:
+                        continue
+                    return await self._answer_report(report)
+                if self._leader not in (None, tried):
                     return await self._answer_report(report)
                 orders = self._stand_in(report)
                 if orders is not None:
--- a/micadeal/leadership/election.py
+++ b/micadeal/leadership/election.py
@@ -181,7 +181,7 @@
             await self._state.end_lease(lease)
             return
         self._resigned = None if self._standing else self._resigned
-        term = Term(token, lease, lease_end(sent, LEASE_TIME), sent, token)
+        term = Term(token, lease, lease_end(sent, LEASE_TIME), None, token)
         log.info("elected with token %d", token)
         await self._listener(Elected(term, seat))
         why = await self._keep(term)
--- a/micadeal/leadership/standin.py
+++ b/micadeal/leadership/standin.py
@@ -22,11 +22,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from micadeal.clock import DRIFT, seconds
+from micadeal.wire.workers import Order, Report, TaskState, Verb
 
 #: How long the word given with an answer to a leader's ping holds.  Leaders ping every second.
 ABSTAIN = seconds(4)
@@ -212,6 +213,16 @@
     return words >= timing.majority - 1
 
 
+def stops(report: Report, cancelled: Container[str]) -> list[Order]:
+    """What to stop of what a worker shows, by whoever answers it without a picture of the jobs."""
+    orders: list[Order] = []
+    for task in report.tasks:
+        job_id, _, _ = task.task.rpartition("/")
+        if job_id in cancelled and task.state != TaskState.EXITED.value:
+            orders.append(Order(Verb.STOP, task.task, task.attempt, 0.0))
+    return orders
+
+
 def all_cancellations_by(views: Iterable[View], now: timedelta, timing: Timing) -> timedelta | None:
     """Up to which instant a controller, itself synced, knows of every cancellation told, if it has
     taken in all lists that it was given; None if it can't say."""
--- a/micadeal/leadership/term.py
+++ b/micadeal/leadership/term.py
@@ -41,8 +41,9 @@
     lease: int
     #: The lease certainly holds until then.
     valid_until: timedelta
-    #: The last instant at which we certainly knew of every cancellation.
-    informed: timedelta
+    #: The last instant at which we certainly knew of every cancellation; None: the records that
+    #: say so are not read yet.
+    informed: timedelta | None
     #: The version of ``leader`` that every write depends on; moves with the level
     #: (rollout/seat.py).
     fence: int = 0
@@ -56,19 +57,22 @@
         told_by: timedelta | None = None,
     ) -> Power:
         """``told_by``: up to then every cancellation is known by a majority's lists."""
-        if now < self.valid_until:
-            return Power.FULL
         # A task whose worker we answer lives for a worker's lease after the report.  So answers
         # must end early enough that it is gone ``cancel_time`` after any cancellation that
-        # another controller could have accepted unknown to us.
+        # another controller could have accepted unknown to us.  A lease of the state service does
+        # not make up for that: it may hold while nothing comes of the jobs (first reads that fail,
+        # a watch that stands still, an outage that has just ended).
         grace = (cancel_time - lease_time) * (1 - DRIFT) - MARGIN
-        known = self.informed if told_by is None else max(self.informed, told_by)
-        if peers and all(peer is not None for peer in peers):
+        informed = self.informed
+        known = [instant for instant in (informed, told_by) if instant is not None]
+        if informed is not None and peers:
             # Every peer's word that it has told no user "cancelled" since ``informed`` moves the
             # bound on: so an outage that all share may last for as long as it likes.
             silent = [
-                peer.asked for peer in peers if peer is not None and peer.cancelled <= self.informed
+                peer.asked for peer in peers if peer is not None and peer.cancelled <= informed
             ]
             if len(silent) == len(peers):
-                known = max(known, min(silent))
-        return Power.RENEW_ONLY if now < known + grace else Power.NONE
+                known.append(min(silent))
+        if not known or now >= max(known) + grace:
+            return Power.NONE
+        return Power.FULL if now < self.valid_until else Power.RENEW_ONLY
--- /dev/null
+++ b/tests/test_meetings.py
@@ -0,0 +1,64 @@
+"""Two troubles meet: stories with several machines, a rule watched in each (docs/meetings.md)."""
+
+from __future__ import annotations
+
+import curio
+import pytest
+
+from micadeal.http.message import Request
+from tests.fakes import state as state_fake
+from tests.fakes.network import REFUSE
+from tests.fakes.world import CANCEL_S, World
+
+#: Until every controller has heard the others speak for so long that it may stand in.
+SETTLED = CANCEL_S + 4
+
+
+def leader_of(world: World) -> int:
+    leader = world.leader()
+    assert leader is not None
+    return leader
+
+
+async def two_jobs(world: World) -> tuple[str, str]:
+    """A settled deployment with a job that is to stay and one that is to be cancelled."""
+    stays = await world.run_job("daemon", 3, scatter=True, rank="production")
+    doomed = await world.run_job("daemon", 4, crew="blue")
+    await world.until(lambda: world.running(stays) == 3 and world.running(doomed) == 4)
+    await curio.sleep(SETTLED)
+    return stays, doomed
+
+
+# -- the gap: the leader alone is refused, "cancelled" is told, then nobody has the state service --
+
+
+@pytest.mark.parametrize("late_by", [1.5, 60.0])
+def test_a_leader_that_still_waits_for_its_first_reads_learns_of_a_cancellation(
+    monkeypatch: pytest.MonkeyPatch, late_by: float
+) -> None:
+    """Guards ``ran_cancelled``: the notice reaches a leader that has no picture yet.  The records
+    that were read before the job was over come late, or not at all as long as it lasts."""
+
+    async def story(world: World) -> None:
+        stays, doomed = await two_jobs(world)
+        gone = leader_of(world)
+
+        def slow(source: str, address: str, request: Request) -> float:
+            reads_jobs = request.path == "/keys" and "starts=job/" in request.query
+            return late_by if reads_jobs and address == state_fake.ADDRESS else 0.0
+
+        world.network.slow = slow
+        world.crash(gone)
+        await world.until(lambda: world.leader() not in (None, gone))
+        leader = leader_of(world)
+        await curio.sleep(0.1)
+        assert await world.cancel(doomed, 3 - gone - leader) == "cancelled"
+        await curio.sleep(1.3)
+        world.network.cut(f"c{leader}", "state", REFUSE)
+        await curio.sleep(0.3)
+        world.state.outage = True
+        await curio.sleep(CANCEL_S + 8)
+        assert not world.held(doomed)
+        assert world.running(stays) == 3
+
+    World().play(monkeypatch, story)
