--- a/tests/fakes/histories.py
+++ b/tests/fakes/histories.py
@@ -9,14 +9,15 @@
 import random
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
+from functools import partial
 from itertools import combinations
 from typing import Any
 
 import curio
 import pytest
 
-from micadeal.clock import steady
-from micadeal.http.message import Request
+from micadeal.clock import seconds, steady
+from micadeal.http.message import HttpError, Request
 from tests.fakes import state as state_fake
 from tests.fakes.network import HOLD, REFUSE, SILENT
 from tests.fakes.workers import FakeWorker
@@ -47,6 +48,9 @@
         self.world = World(seed, stand_in=self.random.random() < 0.8, boot_s=3.0)
         self.jobs: list[str] = []
         self.cancelling: set[str] = set()
+        #: Jobs whose last task has ended, and how often users looked closely.
+        self.ended: set[str] = set()
+        self.looks = 0
         self._underway = 0
         #: Confirmed cancellations: how long after it the last task was gone.
         self.gone_after: list[float] = []
@@ -141,6 +145,7 @@
         await self.world.network.heal_all()
         for worker in self.world.fleet.workers.values():
             worker.hanging = False
+            self.world.network.mute.discard(worker.name)
         for number in range(3):
             if not self.world.on(number):
                 await self.world.start(number)
@@ -165,6 +170,25 @@
 
     # -- what troubles need ----------------------------------------------------------------
 
+    def chance(self, share: float) -> bool:
+        return self.random.random() < share
+
+    async def deliver(self, requests: list[Request], number: int) -> None:
+        """To one controller, one after the other, as long as it is there."""
+        for request in requests:
+            address = f"10.0.0.{number + 1}:8080"
+            try:
+                await self.world.network.request("copies", address, request, seconds(4))
+            except HttpError:
+                return
+
+    async def refused(self, fields: dict[str, Any], number: int) -> None:
+        """Submit a job that can't run, or makes no sense: no controller may ever accept it."""
+        job = self.world.job(**fields)
+        status = await self.world.offer(job, number)
+        if status not in (0, 400, 422, 503):
+            self.world.broken.append(f"accepted {job} with {fields}: {status}")
+
     def leader(self) -> int:
         """The one that leads, or some other if nobody does."""
         found = self.world.leader()
@@ -356,6 +380,102 @@
         worker.begin_anew()
 
 
+async def _mute(history: History) -> None:
+    names = {worker.name for worker in history.some(0.4)}
+    history.world.network.mute |= names
+    await curio.sleep(history.random.choice([4.0, 25.0]))
+    history.world.network.mute -= names
+
+
+async def _answers_lost(history: History) -> None:
+    def lost(source: str, address: str, request: Request) -> bool:
+        return address == state_fake.ADDRESS and request.method != "GET" and history.chance(0.3)
+
+    history.world.network.answer_lost = lost
+    await curio.sleep(25)
+    history.world.network.answer_lost = None
+
+
+async def _reports_for_the_next(history: History) -> None:
+    """Copies are kept until another leads, and then come to all controllers at once."""
+    kept: list[Request] = []
+
+    def keep(source: str, address: str, request: Request) -> Iterable[tuple[float, str]]:
+        if request.path == "/checkin" and len(kept) < 200 and history.chance(0.3):
+            kept.append(request)
+        return ()
+
+    history.world.network.copies = keep
+    term = history.world.term()
+    for _ in range(300):
+        await curio.sleep(0.1)
+        if history.world.term() not in (0, term):
+            break
+    history.world.network.copies = None
+    for number in range(3):
+        await curio.spawn(history.deliver, kept, number, daemon=True)
+
+
+async def _cancel_now(history: History) -> None:
+    """Some that run are called off within a fifth of a second, and machines of theirs hang."""
+    running = [job for job in history.jobs if history.world.running(job)]
+    hang_s = history.random.choice([0.0, 6.0, 18.0])
+    machines = []
+    for job in history.random.sample(running, min(3, len(running))):
+        if job not in history.cancelling:
+            machines += [worker for worker, _ in history.world.held(job)]
+            history.cancelling.add(job)
+            await curio.spawn(history.cancel, job, history.random.uniform(0, 0.2), daemon=True)
+    if hang_s:
+        for worker in machines[:8]:
+            worker.hanging = True
+        await curio.sleep(hang_s)
+        for worker in machines[:8]:
+            worker.hanging = False
+
+
+async def _cancel_at_end(history: History) -> None:
+    """Some are called off at the moment at which their last task ends."""
+    for _ in range(2500):
+        await curio.sleep(0.01)
+        for job in history.jobs:
+            if job not in history.ended and history.world._all_done(job):
+                history.ended.add(job)
+                if job not in history.cancelling and history.chance(0.7):
+                    history.cancelling.add(job)
+                    await curio.spawn(history.cancel, job, daemon=True)
+
+
+async def _close_looks(history: History) -> None:
+    """All are asked within milliseconds after a job was accepted, ended or cancelled."""
+    world = history.world
+    seen: dict[str, tuple[Any, ...]] = {}
+    for _ in range(2500):
+        await curio.sleep(0.01)
+        for job in history.jobs:
+            state = (world.told.newest_at.get(job), world._all_done(job))
+            if seen.get(job) != state:
+                seen[job] = state
+                for _ in range(2):
+                    await curio.spawn(world.look, job, daemon=True)
+                history.looks += 1
+
+
+async def _odd_requests(history: History) -> None:
+    """Repeats with other content, cancellations of what is done, jobs that can't run."""
+    world, draw = history.world, history.random
+    odd: list[dict[str, Any]] = [{"legs": 0}, {"crew": "green"}, {"vcpus": 99.0}, {"rank": 7}]
+    odd += [{"depot": "east"}, {"rigs": ["cart"]}, {"shape": "gang", "legs": 90}]
+    for _ in range(20):
+        await curio.sleep(draw.uniform(0.3, 1.5))
+        for job in draw.sample(history.jobs, min(2, len(history.jobs))):
+            fields = draw.choice([{}, *odd])
+            await curio.spawn(partial(world.offer, job, draw.randrange(3), **fields), daemon=True)
+            if world.told.final.get(job) == "done":
+                await curio.spawn(world.cancel, job, draw.randrange(3), daemon=True)
+        await curio.spawn(history.refused, draw.choice(odd), draw.randrange(3), daemon=True)
+
+
 TROUBLES: dict[str, Trouble] = {
     "leader refused": _refused,
     "outage": _outage,
@@ -373,6 +493,13 @@
     "late reports": _late_reports,
     "slow state service": _slow_state,
     "workers anew": _begin_anew,
+    "mute machines": _mute,
+    "answers lost": _answers_lost,
+    "reports for the next leader": _reports_for_the_next,
+    "cancelled at once": _cancel_now,
+    "cancelled at the end": _cancel_at_end,
+    "close looks": _close_looks,
+    "odd requests": _odd_requests,
 }
 
 #: All pairs of troubles, in a fixed order.
