--- a/micadeal/jobs/validate.py
+++ b/micadeal/jobs/validate.py
@@ -50,7 +50,8 @@
             raise Malformed(f"{name} must be a number and not below 0")
     if spec.cpus == 0 and spec.gpus == 0:
         raise Malformed("a task must take cores or accelerators")
-    for text in (spec.job_class, spec.team, spec.image, spec.zone or "-"):
+    zone = "-" if spec.zone is None else spec.zone
+    for text in (spec.job_class, spec.team, spec.image, zone):
         if not 0 < len(text) <= LONGEST_NAME:
             raise Malformed("an empty or overlong name")
     if spec.machine_types is not None and not all(
--- /dev/null
+++ b/tests/test_odd_requests.py
@@ -0,0 +1,135 @@
+"""Odd requests: what is malformed, can't run, or repeats what is known, at every controller."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import curio
+import pytest
+
+from tests.fakes.world import World, leader_of
+
+#: What may be null may be left out.
+OPTIONAL = {"rigs", "depot", "due_s"}
+#: Of the wrong type, or of no sense, field by field.
+NONSENSE: dict[str, list[Any]] = {
+    "name_id": [None, 7, "", "req-", "req-12x", "job-000001", "req-" + "1" * 40],
+    "lane": [None, 7, "", "x" * 300],
+    "crew": [None, 7, "", ["red"]],
+    "shape": [None, 1, "cluster", "ARRAY"],
+    "rank": [None, 1, "normal", "urgent"],
+    "legs": [None, 0, -1, 100_001, "2", 1.5, True],
+    "vcpus": [None, -1.0, math.nan, math.inf, "2"],
+    "accelerators": [None, -1.0, math.nan, "1"],
+    "ram_gb": [None, -0.5, math.inf, "8"],
+    "build": [None, 7, ""],
+    "image_gb": [None, -1.0, math.nan, "2"],
+    "rigs": ["box", [7], [""], {"box": 1}],
+    "depot": [7, "", ["north"]],
+    "one_zone": [None, 1, "yes"],
+    "scatter": [None, 0, "no"],
+    "loaners": [None, 1, "true"],
+    "expect_s": [None, -1.0, math.inf, "20"],
+    "bookmark_s": [None, -1.0, math.nan],
+    "stow_s": [None, -1.0, math.nan],
+    "due_s": [-1.0, math.nan, "soon"],
+    "waits_on": ["req-000001", [7], ["job-1"]],
+}
+#: Fits no machine allowed to it, or none that is had in its zone, or is more than its team may use.
+IMPOSSIBLE: list[dict[str, Any]] = [
+    {"crew": "green"},
+    {"vcpus": 8.5},
+    {"accelerators": 3.0},
+    {"ram_gb": 65.0},
+    {"rigs": []},
+    {"rigs": ["cart"]},
+    {"rigs": ["cart", "van"], "depot": "north"},
+    {"depot": "east"},
+    {"rigs": ["box"], "depot": "east"},
+    {"shape": "gang", "legs": 9},
+    {"shape": "daemon", "legs": 9},
+    {"shape": "gang", "legs": 5, "accelerators": 2.0},
+    {"waits_on": ["req-999999"]},
+]
+
+
+async def everywhere(world: World, status: int, **fields: Any) -> None:
+    """Each controller answers the same, and the job is known to none."""
+    job = world.job()
+    for number in range(3):
+        assert await world.offer(job, number, **fields) == status, fields
+    if "name_id" not in fields:
+        assert await world.status(job, 0) is None
+        assert f"job/{job}" not in world.state.keys and f"end/{job}" not in world.state.keys
+
+
+def test_each_field_is_lacking_in_turn(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def story(world: World) -> None:
+        await curio.sleep(3)
+        for field in list(world.fleet.jobs[world.job()].spec):
+            job = world.job()
+            spec = {k: v for k, v in world.fleet.jobs[job].spec.items() if k != field}
+            for number in range(3):
+                status, _ = await world.call(number, "POST", "/work", spec)
+                expected = {201, 200} if field in OPTIONAL else {400}
+                assert status in expected, field
+            known = f"job/{job}" in world.state.keys
+            assert known == (field in OPTIONAL), field
+
+    World().play(monkeypatch, story)
+
+
+def test_each_field_is_nonsense_in_turn(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def story(world: World) -> None:
+        await curio.sleep(3)
+        assert set(NONSENSE) >= set(world.fleet.jobs[world.job()].spec)
+        for field, values in NONSENSE.items():
+            for value in values:
+                await everywhere(world, 400, **{field: value})
+
+    World().play(monkeypatch, story)
+
+
+def test_what_can_never_run_is_refused_by_all(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def story(world: World) -> None:
+        await curio.sleep(3)
+        for fields in IMPOSSIBLE:
+            await everywhere(world, 422, **fields)
+
+    World().play(monkeypatch, story)
+
+
+def test_repeats_with_other_content_are_known_whatever_became_of_the_job(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """While it waits, runs, is done or cancelled, and as the leader ends; cancelling what is done
+    is answered with that."""
+
+    async def story(world: World) -> None:
+        odd = [*IMPOSSIBLE, *({f: v[-1]} for f, v in NONSENSE.items() if f != "name_id"), {}]
+        jobs = {
+            "done": await world.run_job("array", 1, run_s=4.0),
+            "running": await world.run_job("daemon", 2),
+            "cancelled": await world.run_job("daemon", 2, crew="blue"),
+        }
+        await world.until(lambda: world.running(jobs["cancelled"]) == 2)
+        while await world.cancel(jobs["cancelled"], 1) is None:
+            await curio.sleep(0.5)
+        await world.until_done(jobs["done"])
+        for ends in (False, True):
+            if ends:
+                world.crash(leader_of(world))
+            for became, job in jobs.items():
+                for turn, fields in enumerate(odd):
+                    number = turn % 3
+                    if world.on(number):
+                        assert await world.offer(job, number, **fields) == 200, (became, fields)
+            for number in range(3):
+                if world.on(number):
+                    assert await world.cancel(jobs["done"], number) == "done"
+                    assert await world.cancel(jobs["cancelled"], number) == "cancelled"
+        await curio.sleep(5)
+        await world.until(lambda: world.running(jobs["running"]) == 2)
+
+    World().play(monkeypatch, story)
