--- a/micadeal/controller/records.py
+++ b/micadeal/controller/records.py
@@ -155,6 +155,8 @@
         self._ending: set[str] = set()
         self._number = 0
         self._unsure: list[str] = []
+        #: Keys under which a transaction of this term may still be carried out.
+        self._doubtful: set[str] = set()
         self._gathering: dict[str, timedelta] = {}
         self._lazy_due = timedelta(0)
         self._pages: dict[str, tuple[ImagesRecord, timedelta]] = {}
@@ -512,12 +514,21 @@
                     # It fills a value by itself: written anew it would be no shorter.
                     continue
                 break
-            operations.append(Drop(key))
+            operations.append(self._end_of(key))
         if rest.attempts:
             key = self._new_key()
             operations.append(Put(key, self._record(rest.attempts)))
             placed.append((key, tuple(rest.attempts)))
 
+    def _end_of(self, key: str) -> Put | Drop:
+        """What ends a record of placements.
+
+        Guards a team's limit, and the wait of a lease, under the next leader: a key that was used
+        twice is emptied instead of dropped, since the earlier transaction depends on its absence
+        and would leave a record that we don't know of.  The next leader drops it.
+        """
+        return Put(key, PlacedRecord([])) if key in self._doubtful else Drop(key)
+
     def _images(self, now: timedelta, operations: list[Put | Drop]) -> None:
         """One page of the images on machines, if one is due and has changed."""
         pages: list[dict[str, list[str]]] = [{} for _ in range(IMAGE_PAGES)]
@@ -570,8 +581,12 @@
         # What is named anew first, then the records that named it before.
         for key, attempts in changes.placed:
             self._cluster.written(key, attempts, now)
+        named = {key for key, _ in changes.placed}
         for operation in changes.operations:
-            if isinstance(operation, Drop):
+            if isinstance(operation, Put):
+                if operation.key.startswith(PLACED) and operation.key not in named:
+                    self._cluster.record_gone(operation.key)
+            else:
                 self.versions.pop(operation.key, None)
                 self._drops.discard(operation.key)
                 self._cluster.record_gone(operation.key)
@@ -616,6 +631,7 @@
             item = found.get(key)
             if item is None:
                 self._unsure.append(key)
+                self._doubtful.add(key)
                 continue
             # Applied after all, perhaps by an earlier transaction under the same key.
             named = {
--- a/micadeal/scheduling/cluster.py
+++ b/micadeal/scheduling/cluster.py
@@ -223,6 +223,9 @@
     def load_placed(self, key: str, record: PlacedRecord, now: timedelta) -> None:
         """Take over a record of placements: all that it names may be on machines."""
         self.records.setdefault(key, set())
+        if not record.machines:
+            # Emptied by the leader before, which could not drop it.
+            self.shrunk.setdefault(key, now)
         for entry in record.machines:
             machine = self.machines.get(entry.name)
             if machine is None:
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -22,6 +22,7 @@
 from micadeal.stored.reading import read
 from micadeal.wire.codec import convert, decode, encode
 from micadeal.wire.state import (
+    Drop,
     FinishedRecord,
     Item,
     LevelRecord,
@@ -112,6 +113,53 @@
     assert len(started(picture)) > 10
 
 
+@pytest.mark.parametrize("seed", range(12))
+def test_no_late_transaction_leaves_a_record_that_its_leader_does_not_know(seed: int) -> None:
+    """Guards against a team's limit that stays used until the next leader has heard of each machine
+    that such a record names: a key is used again and dropped, and then an earlier transaction under
+    it is carried out."""
+    picture = Picture(30, 8, seed)
+    recorder, store = Recorder(picture.cluster, LIMITS), Store()
+    late: list[Changes] = []
+    emptied: set[str] = set()
+    for _ in range(160):
+        picture.scheduler.run_pass(picture.now)
+        for batch in recorder.next(picture.now):
+            fate = picture.random.choice(["applied", "applied", "late"])
+            revision = store.apply(batch) if fate == "applied" else None
+            if fate == "late":
+                late.append(batch)
+            if revision is not None:
+                recorder.committed(batch, revision, picture.now)
+            else:
+                recorder.failed(batch, store.read(batch), picture.now)
+        if len(late) > 8:
+            store.apply(late.pop(0))
+        placed = {k: v.value["machines"] for k, v in store.keys.items() if k.startswith("placed/")}
+        emptied |= {key for key, machines in placed.items() if not machines}
+        known = {*picture.cluster.records, *recorder._unsure}
+        assert {key for key, machines in placed.items() if machines} <= known
+        picture.now += seconds(1)
+        for name in picture.cluster.machines:
+            picture.report(name, done=picture.random.random() < 0.3)
+        if picture.random.random() < 0.3:
+            picture.submit()
+    assert emptied
+    # The next leader drops what is empty.
+    now, after = picture.now, Picture(4, 1, seed)
+    recorder = Recorder(after.cluster, LIMITS)
+    for key in emptied:
+        recorder.versions[key] = store.keys[key].version
+        after.cluster.load_placed(key, convert(PlacedRecord, store.keys[key].value), now)
+    dropped: set[str] = set()
+    for _ in range(60):
+        now += seconds(2)
+        for batch in recorder.next(now):
+            dropped |= {o.key for o in batch.operations if isinstance(o, Drop)}
+            recorder.committed(batch, 10**6, now)
+    assert emptied <= dropped
+
+
 def test_records_of_the_earlier_layout_are_taken_over_and_replaced(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
