--- a/bench/model_standin.py
+++ b/bench/model_standin.py
@@ -30,7 +30,7 @@
 
 from micadeal.clock import seconds
 from micadeal.controller.standing import Standing
-from micadeal.leadership.standin import Memory, Timing, View, may_count_lease_over
+from micadeal.leadership.standin import Memory, Timing, View, listed_by, may_count_lease_over
 from micadeal.leadership.term import Power, Term
 from micadeal.wire.mesh import Ping, Word
 from micadeal.wire.workers import Report, TaskReport
@@ -130,6 +130,7 @@
                 view.bound_token if held is not None else 0,
                 held,
                 _old(_back(view.told), -CANCEL - 1),
+                _old(_back(view.listed), -CANCEL - 1),
             )
         )
     return _number(
@@ -150,10 +151,10 @@
     standing = Standing("12", TIMING, NOW)
     standing._memory = Memory(NOW + seconds(born), token, _at(led), bound_token, _at(bound))
     for name, view in zip("12", views, strict=True):
-        asked, since, quiet, age, consent, until, under, held, told = view
+        asked, since, quiet, age, consent, until, under, held, told, last = view
         standing._views[name] = View(
             _at(asked), _at(since), _at(quiet), _at(age), consent, _at(until), under, _at(held),
-            _at(told),
+            _at(told), _at(last),
         )  # fmt: skip
     if listed:
         standing._told[JOB] = NOW
@@ -173,18 +174,22 @@
     latest = max((view[1] for view in views if view[1] is not None), default=OLD)
     silent = any(view[1] is None for view in views)
     lean = []
-    for asked, since, quiet, age, consent, until, held_under, held, told in views:
+    for asked, since, quiet, age, consent, until, held_under, held, told, last in views:
         if leads:
             consent, until = 0, None
             told = told if told == 0 else OLD
+            last = None if last is None else last if last == 0 else OLD
         else:
-            quiet, age, held_under, held = None, OLD, 0, None
+            quiet, age, held_under, held, last = None, OLD, 0, None, None
             # Whether the list was given since the start: nothing else is asked of it.
             told = OLD if born == OLD else (0 if told is not None and told >= born else None)
         if since is not None and (silent or since < latest):
             since = OLD
         lean.append(
-            (asked if late else None, since, quiet, age, consent, until, held_under, held, told)
+            (
+                *(asked if late else None, since, quiet, age, consent, until),
+                *(held_under, held, told, last),
+            )
         )
     return _number((born, token, OLD if leads else heard, under, bound, listed, tuple(lean)))
 
@@ -230,6 +235,7 @@
             view[6],
             shift(view[7]),
             shift(view[8]),
+            shift(view[9]),
         )
         for view in views
     )
@@ -285,12 +291,17 @@
 
 
 @cache
-def _renews(node: Node, informed: int | None) -> bool:
+def _renews(node: Node, informed: int | None, ageless: bool) -> bool:
     """Whether a leader that hears nothing of the jobs answers the worker; ``informed``: when it
-    last did, None: never."""
+    last did, None: never; ``ageless``: it takes all lists for whole, however young who gave it."""
     known = None if informed is None else NOW + seconds(informed)
     term = Term(TOKEN, 1, NOW - seconds(1), known)
-    told_by = _unpack(node).all_cancellations_by(NOW)
+    standing = _unpack(node)
+    views = standing.views()
+    if ageless:
+        views = tuple(replace(view, born=_at(OLD)) for view in views)
+    instants = (standing.all_cancellations_by(NOW), listed_by(views, known))
+    told_by = max((instant for instant in instants if instant is not None), default=None)
     power = term.power(NOW, [None], TIMING.lease_over, TIMING.cancel, told_by)
     return power is Power.RENEW_ONLY
 
@@ -314,6 +325,8 @@
     informed_by_election: bool = False
     stops_by_picture: bool = False
     early_notices_lost: bool = False
+    #: That a list has all that an earlier process told.
+    lists_ageless: bool = False
     #: That no cancellation can be unknown.
     answers_for_ever: bool = False
     #: To a controller about itself, to a leader about the others, and to all about what is said.
@@ -351,7 +364,7 @@
         Lies(of_others=_views(lambda view: (*view[:3], OLD, *view[4:]))), crashes=1
     ),
     "a leader waits a lease from the end of a consent": Guard(
-        Lies(of_others=_views(lambda view: (*view[:6], 0, None, view[8])))
+        Lies(of_others=_views(lambda view: (*view[:6], 0, None, *view[8:])))
     ),
     "a consent ends": Guard(Lies(consents_endless=True)),
     "answers are dated by their questions": Guard(
@@ -363,6 +376,7 @@
     "being elected is no knowledge of what is cancelled": Guard(
         Lies(informed_by_election=True), reading=True
     ),
+    "a list lacks what an earlier process told": Guard(Lies(lists_ageless=True), crashes=1),
     "what is on the list is stopped before the records are read": Guard(
         Lies(stops_by_picture=True), reading=True
     ),
@@ -506,7 +520,7 @@
         heard = state._replace(nodes=_with(state, 0, _listed(node)), picture=READ)
         yield "the leader hears of the cancellation", heard
     informed = state.informed if has_picture or lies.informed_by_election else None
-    if lies.answers_for_ever or _renews(believed, informed):
+    if lies.answers_for_ever or _renews(believed, informed, lies.lists_ageless):
         stops = listed and state.picture != MISLED
         if lies.stops_by_picture and not has_picture:
             stops = False
@@ -532,7 +546,7 @@
 def starts(crashes: int, reading: bool) -> list[State]:
     """A leader that has been there for long; or one elected just now, when nothing was cancelled
     yet or a job was a while ago, as two others know."""
-    view = (None, OLD, None, OLD, 0, None, 0, None, OLD)
+    view = (None, OLD, None, OLD, 0, None, 0, None, OLD, OLD)
     node = _number((OLD, TOKEN, 0, 0, None, False, (view, view)))
     quiet = State((node, node, node), True, 0, 0, 0, None, READ, crashes, ())
     if not reading:
--- a/micadeal/controller/dispatcher.py
+++ b/micadeal/controller/dispatcher.py
@@ -50,7 +50,7 @@
 from micadeal.fleet.cloud import Cloud
 from micadeal.fleet.offers import Market
 from micadeal.http.network import Network
-from micadeal.leadership.standin import Timing, View, may_count_lease_over, stops
+from micadeal.leadership.standin import Timing, View, listed_by, may_count_lease_over, stops
 from micadeal.leadership.term import PeerContact, Power, Term
 from micadeal.operator.platform import Platform
 from micadeal.operator.policy import Policy
@@ -194,7 +194,9 @@
 
     def _power(self) -> Power:
         workers = self._platform.workers
-        return self._term.power(steady(), self._peers, workers.lease, workers.cancel, self._told_by)
+        known = (self._told_by, listed_by(self._views, self._term.informed))
+        told_by = max((instant for instant in known if instant is not None), default=None)
+        return self._term.power(steady(), self._peers, workers.lease, workers.cancel, told_by)
 
     def _leases_count(self, now: timedelta) -> bool:
         """Whether a silent worker's lease may be counted as over: nobody else can have renewed it.
--- a/micadeal/leadership/standin.py
+++ b/micadeal/leadership/standin.py
@@ -126,6 +126,8 @@
     bound_until: timedelta | None = None
     #: When we asked for the last list of cancellations that it gave us while it was synced.
     told: timedelta | None = None
+    #: The same for the last list at all: it lacks at most what an earlier process of its told.
+    listed: timedelta | None = None
 
     def hear(
         self, word: Word | None, asked: timedelta, now: timedelta, token: int, timing: Timing
@@ -153,6 +155,7 @@
             bound_token=word.bound_token,
             bound_until=now + word.bound if word.bound_token else None,
             told=asked if word.told and word.synced else self.told,
+            listed=asked if word.told else self.listed,
         )
 
     def keeps_list(self, now: timedelta, timing: Timing) -> bool:
@@ -239,3 +242,19 @@
     told.sort(reverse=True)
     others = timing.majority - 1
     return told[others - 1] if 0 < others <= len(told) else None
+
+
+def listed_by(views: Iterable[View], informed: timedelta | None) -> timedelta | None:
+    """Up to which instant a leader knows of every cancellation told, if it has taken in all lists
+    that it was given, whole or not; None if it can't say.
+
+    ``informed``: up to then the records said so.  Guards work where all controllers were started a
+    moment ago: what an earlier process of another has told is in no list, but was recorded before
+    the present one was started, so the leader has read it if that was before ``informed``.
+    """
+    listed: list[timedelta] = []
+    for view in views:
+        if informed is None or view.listed is None or view.born is None or view.born > informed:
+            return None
+        listed.append(view.listed)
+    return min(listed, default=None)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -166,6 +166,35 @@
     World().play(monkeypatch, story)
 
 
+def test_all_were_started_a_moment_ago_when_a_cancellation_meets_an_outage(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards work: no list is whole so soon, and the leader's last answered watch was opened before
+    the cancellation.  But what no list has was recorded before that; found on a day of gaps at
+    elections, where 366 tasks ended at once."""
+
+    async def story(world: World) -> None:
+        stays, doomed = await two_jobs(world)
+        for number in range(3):
+            world.crash(number)
+        await curio.sleep(0.3)
+        for number in range(3):
+            await world.start(number)
+        await world.until(lambda: world.leader() is not None)
+        await curio.sleep(1)
+        leader = leader_of(world)
+        assert await world.cancel(doomed, (leader + 1) % 3) == "cancelled"
+        world.state.outage = True
+        await curio.sleep(CANCEL_S + 8)
+        assert not world.held(doomed)
+        assert world.running(stays) == 3
+        world.state.outage = False
+        await curio.sleep(LEASE_S)
+        assert {world.starts[f"{stays}/{index}"] for index in range(3)} == {1}
+
+    World().play(monkeypatch, story)
+
+
 def test_settings_that_were_never_answered_undo_no_newer_ones(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
