--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -125,8 +125,7 @@
 
 
 def test_who_takes_the_seat_without_an_answer_leads(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards work: else each lost answer costs an election, and whole fleets lose their leases while
-    half of the answers are lost."""
+    """Guards work: else each lost answer costs an election, and leases may run out meanwhile."""
 
     async def story(world: World) -> None:
         stays = await world.run_job("daemon", 3, scatter=True, rank="production")
