--- a/bench/meetings.py
+++ b/bench/meetings.py
@@ -92,7 +92,11 @@
     async def settled(self: Node, job_id: str) -> Spread:
         return (await spread(self, job_id))._replace(settled=True)
 
+    async def nothing_starts(self: Node, job_id: str) -> bool:
+        return False
+
     patch.setattr(Node, "_spread", settled)
+    patch.setattr(Node, "_may_start", nothing_starts)
 
 
 def _writes_without_versions(patch: pytest.MonkeyPatch) -> None:
