--- a/micadeal/controller/node.py
+++ b/micadeal/controller/node.py
@@ -73,6 +73,8 @@
 #: looks: within the time that a notice has.
 START_TIME = seconds(0.6)
 START_LOOK = seconds(0.05)
+#: So many wait at once: the others' connections are needed for pings, and they are asked again.
+MOST_SETTLING = 30
 CATALOG_EVERY = seconds(300)
 #: A worker's report is held for so long at most while the next leader is being elected, and for so
 #: much of a lease: workers give an answer up after 4 s, and have more controllers to try in time.
@@ -139,6 +141,8 @@
         self._retiring = False
         #: Reports that are held until a leader is known.
         self._held = 0
+        #: Cancellations that wait for the last start of their job to be heard of.
+        self._settling = 0
 
     async def run(self) -> None:
         most = self._platform.max_connections
@@ -341,20 +345,26 @@
     async def _may_start(self, job_id: str) -> bool:
         """As leader: whether a task of a job that is cancelled may still start.  Waits a little for
         its stops to be heard of."""
+        waits = self._settling < MOST_SETTLING
         until = steady() + START_TIME
-        while (dispatcher := self._dispatcher) is not None:
-            if dispatcher.reading:
-                return job_id not in self._desk.all_started()
-            rest = until - steady()
-            if rest <= ZERO:
-                return True
-            try:
+        self._settling += waits
+        try:
+            while (dispatcher := self._dispatcher) is not None:
+                if dispatcher.reading:
+                    return job_id not in self._desk.all_started()
+                rest = until - steady()
+                if rest <= ZERO:
+                    return True
                 if not await dispatcher.ask(StartsWanted(job_id), rest):
                     return False
-            except (Overloaded, TimeoutError):
-                return True
-            await sleep(START_LOOK)
-        return True
+                if not waits:
+                    return True
+                await sleep(START_LOOK)
+            return True
+        except (Overloaded, TimeoutError):
+            return True
+        finally:
+            self._settling -= waits
 
     # -- users and workers -----------------------------------------------------------------
 
--- a/tests/test_changes_of_hands.py
+++ b/tests/test_changes_of_hands.py
@@ -361,6 +361,37 @@
     World(changes_per_s=changes, capacity=20).play(monkeypatch, story)
 
 
+def test_a_hundred_jobs_that_fetch_their_images_are_cancelled_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Few of the cancellations wait at the leader, whose connections the pings of the others need;
+    all are told soon, and nothing starts after that."""
+
+    async def story(world: World) -> None:
+        await world.until(lambda: world.leader() is not None)
+        await curio.sleep(3)
+        jobs = []
+        for number in range(100):
+            image = {"build": f"img-{number % 20}", "image_gb": 9.0}
+            jobs.append(await world.run_job("array", 1, run_s=60.0, crew="blue", **SMALL, **image))
+        await world.until(lambda: sum(len(w.tasks) for w in world.fleet.workers.values()) > 60)
+        # What is ordered is shown with the next report only.
+        world.network.mute |= set(world.fleet.workers)
+        leader = leader_of(world)
+        began = steady().total_seconds()
+        tellers = [await curio.spawn(until_told, world, job, n) for n, job in enumerate(jobs)]
+        most = 0
+        for _ in range(200):
+            await curio.sleep(0.01)
+            most = max(most, world.nodes[leader]._settling)
+        world.network.mute.clear()
+        assert {await teller.join() for teller in tellers} == {"cancelled"}
+        assert 0 < most <= 30 and leader_of(world) == leader
+        assert steady().total_seconds() - began < 30
+
+    World(capacity=20).play(monkeypatch, story)
+
+
 # -- machines that reach nobody, leaders that change all the time ---------------------------------
 
 
