--- a/micadeal/controller/desk.py
+++ b/micadeal/controller/desk.py
@@ -124,7 +124,7 @@
         self._accepted: OrderedDict[str, None] = OrderedDict()
         #: Jobs that are recorded done or cancelled, by the word of others, and not read here yet.
         self._over: OrderedDict[str, None] = OrderedDict()
-        #: Cancelled jobs of which too much may still start, and since when enough know of them.
+        #: Cancelled jobs of which a task may still start, and since when enough know of them.
         self._unsettled: OrderedDict[str, timedelta] = OrderedDict()
         #: Jobs that wait for no others, and the version of their records: as long as that holds
         #: they are neither done nor cancelled.
@@ -168,7 +168,7 @@
 
     def over(self, job_id: str) -> None:
         """Another controller, or our own leader's actor, knows that a job's end is recorded."""
-        if job_id not in self._final:
+        if job_id not in self._final and JOB_ID.match(job_id):
             _keep(self._over, job_id, None)
 
     # -- requests --------------------------------------------------------------------------
