--- a/micadeal/controller/desk.py
+++ b/micadeal/controller/desk.py
@@ -251,9 +251,8 @@
             return answer(200, known)
         now = wall().timestamp()
         record = JobRecord(spec, now)
-        too_large = error(400, "the job's description is too large for the state service")
         if not self._state.present.fits(record):
-            return await self._unless_known(job_id, too_large)
+            return await self._too_large(job_id)
         accepted = JobAnswer(job_id, Status.CANCELLED if cancelled else Status.PENDING)
         changes = [Put(JOBS + job_id, record)]
         if cancelled:
@@ -265,7 +264,7 @@
                 # The service's limits are lower by now than when this controller was started.
                 parts = split(record, self._state.limits)
                 if parts is None:
-                    return await self._unless_known(job_id, too_large)
+                    return await self._too_large(job_id)
                 await self._put_new(job_id, parts)
             _keep(self._accepted, job_id, None)
             if cancelled:
@@ -285,6 +284,11 @@
             return error(503, "not recorded yet, ask again", RETRY)
         return answer(200, found)
 
+    async def _too_large(self, job_id: str) -> Answer:
+        return await self._unless_known(
+            job_id, error(400, "the job's description is too large for the state service")
+        )
+
     async def _put_new(self, job_id: str, changes: list[Put]) -> None:
         await self._state.commit(
             [Condition(JOBS + job_id, 0), Condition(ENDS + job_id, 0)],
