--- a/tests/fakes/histories.py
+++ b/tests/fakes/histories.py
@@ -319,11 +319,16 @@
         await curio.sleep(history.random.choice([0.3, 2.0]))
 
 
-async def _deaf(history: History) -> None:
+async def _are_among(history: History, hosts: set[str]) -> None:
+    """Some machines are for a while."""
     names = {worker.name for worker in history.some(0.4)}
-    history.world.network.deaf |= names
+    hosts |= names
     await curio.sleep(history.random.choice([4.0, 25.0]))
-    history.world.network.deaf -= names
+    hosts -= names
+
+
+async def _deaf(history: History) -> None:
+    await _are_among(history, history.world.network.deaf)
 
 
 async def _hang(history: History) -> None:
@@ -381,10 +386,7 @@
 
 
 async def _mute(history: History) -> None:
-    names = {worker.name for worker in history.some(0.4)}
-    history.world.network.mute |= names
-    await curio.sleep(history.random.choice([4.0, 25.0]))
-    history.world.network.mute -= names
+    await _are_among(history, history.world.network.mute)
 
 
 async def _answers_lost(history: History) -> None:
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -391,6 +391,14 @@
         self._hear(job_id, before, str(reply["status"]))
         return str(reply["status"])
 
+    async def until_told(self, job_id: str, number: int = 0, limit: int = 60) -> str:
+        """Cancel until it is answered, each second at the next controller; what was said."""
+        for attempt in range(limit):
+            if (said := await self.cancel(job_id, (number + attempt) % 3)) is not None:
+                return said
+            await curio.sleep(1)
+        raise AssertionError(f"the cancellation of {job_id} is never answered")
+
     async def until(self, what: Callable[[], bool], limit: float = 120) -> float:
         """Wait for something; how long it took."""
         began = steady().total_seconds()
--- a/tests/test_changes_of_hands.py
+++ b/tests/test_changes_of_hands.py
@@ -25,15 +25,6 @@
 NEGLECTED_S = 90
 
 
-async def until_told(world: World, job: str, number: int, limit: int = 60) -> str:
-    """Cancel until it is answered, each time at the next controller."""
-    for attempt in range(limit):
-        if (said := await world.cancel(job, (number + attempt) % 3)) is not None:
-            return said
-        await curio.sleep(1)
-    raise AssertionError(f"the cancellation of {job} is never answered")
-
-
 async def change_hands(world: World, how: str) -> None:
     """The leader's work goes to another."""
     leader = leader_of(world)
@@ -77,7 +68,7 @@
                 worker.hanging = True
         tellers, terms = [], set()
         for number, job in enumerate(jobs):
-            tellers.append(await curio.spawn(until_told, world, job, number))
+            tellers.append(await curio.spawn(world.until_told, job, number))
             terms.add(world.term())
             await curio.sleep(0.1)
         assert len(terms) > 1
@@ -128,8 +119,7 @@
                     world.network.cut(name, f"c{number}", SILENT)
         world.crash(leader)
         tellers = [
-            await curio.spawn(until_told, world, job, leader + 1 + n)
-            for n, job in enumerate(doomed)
+            await curio.spawn(world.until_told, job, leader + 1 + n) for n, job in enumerate(doomed)
         ]
         await curio.sleep(9)
         assert world.leader() not in (None, leader)
@@ -166,7 +156,7 @@
                 world.network.cut(worker.name, f"c{number}", SILENT)
         await curio.sleep(1)
         world.crash(leader)
-        assert await until_told(world, doomed, leader + 1) == "cancelled"
+        assert await world.until_told(doomed, leader + 1) == "cancelled"
         await curio.sleep(LEASE_S / 2)
         # Their tasks go on, by leases of their own.
         assert len(world.held(doomed)) == 8 and not world.held(waits)
@@ -332,7 +322,7 @@
             if number % 4 == 3:
                 await curio.sleep(number % 7 * 1.5)
                 began = steady().total_seconds()
-                await until_told(world, job, number)
+                await world.until_told(job, number)
                 slowest = max(slowest, steady().total_seconds() - began)
 
         users = []
@@ -379,7 +369,7 @@
         world.network.mute |= set(world.fleet.workers)
         leader = leader_of(world)
         began = steady().total_seconds()
-        tellers = [await curio.spawn(until_told, world, job, n) for n, job in enumerate(jobs)]
+        tellers = [await curio.spawn(world.until_told, job, n) for n, job in enumerate(jobs)]
         most = 0
         for _ in range(200):
             await curio.sleep(0.01)
@@ -412,7 +402,7 @@
         mute = {w.name for w, _ in (*world.held(doomed), *world.held(array))}
         world.network.mute |= mute
         await curio.sleep(3)
-        assert await until_told(world, doomed, leader + 1) == "cancelled"
+        assert await world.until_told(doomed, leader + 1) == "cancelled"
         await world.until(lambda: not world.held(doomed), limit=4)
         world.crash(leader)
         await curio.sleep(LEASE_S + 12)
@@ -451,7 +441,7 @@
             await curio.sleep(0.5)
             await world.start(number)
             if len(doomed) > 2:
-                await curio.spawn(until_told, world, doomed.pop(0), number + 1, daemon=True)
+                await curio.spawn(world.until_told, doomed.pop(0), number + 1, daemon=True)
             await curio.sleep(4)
             world.state.outage = False
             await world.until(lambda: world.term() not in {0, *terms}, limit=10)
@@ -486,7 +476,7 @@
             for other in outside:
                 world.network.cut(one, other, SILENT)
         await curio.sleep(1)
-        assert await until_told(world, doomed, 1) == "cancelled"
+        assert await world.until_told(doomed, 1) == "cancelled"
         await curio.sleep(LEASE_S * 2)
         late = await world.run_job("array", 2, run_s=5.0, depot="north", crew="blue")
         for one in inside:
@@ -523,7 +513,7 @@
         assert not world.held()
         for number in range(3):
             await world.start(number)
-        assert said == "cancelled" or await until_told(world, doomed, 0) == "cancelled"
+        assert said == "cancelled" or await world.until_told(doomed, 0) == "cancelled"
         await world.until_done(array, NEGLECTED_S)
         await world.until(lambda: world.running(stays) == 3, limit=NEGLECTED_S)
         assert not world.held(doomed)
@@ -563,7 +553,7 @@
             if number == 9:
                 await curio.spawn(change_hands, world, "ended", daemon=True)
             if number % 5 == 4:
-                await curio.spawn(until_told, world, job, number, daemon=True)
+                await curio.spawn(world.until_told, job, number, daemon=True)
             await curio.sleep(1)
         await curio.sleep(8)
         world.network.slow = None
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -104,12 +104,7 @@
                 await curio.sleep(25)
                 await world.start(leader)
             await curio.sleep(5)
-        said = None
-        for attempt in range(40):
-            if (said := await world.cancel(doomed, attempt % 3)) is not None:
-                break
-            await curio.sleep(1)
-        assert said == "cancelled"
+        assert await world.until_told(doomed, limit=40) == "cancelled"
         await world.until(lambda: not world.held(doomed), limit=CANCEL_S)
         for job in jobs:
             await world.until_done(job)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -22,6 +22,14 @@
     return stays, doomed
 
 
+async def sit_out_an_outage(world: World, stays: str, doomed: str) -> None:
+    """It begins, and goes on for longer than a cancellation may take."""
+    world.state.outage = True
+    await curio.sleep(CANCEL_S + 8)
+    assert not world.held(doomed)
+    assert world.running(stays) == 3
+
+
 @pytest.mark.parametrize("seed", range(40))
 def test_whatever_troubles_meet_no_rule_is_broken_and_all_that_was_accepted_is_served(
     seed: int,
@@ -58,10 +66,7 @@
         await curio.sleep(1.3)
         world.network.cut(f"c{leader}", "state", REFUSE)
         await curio.sleep(0.3)
-        world.state.outage = True
-        await curio.sleep(CANCEL_S + 8)
-        assert not world.held(doomed)
-        assert world.running(stays) == 3
+        await sit_out_an_outage(world, stays, doomed)
 
     World().play(monkeypatch, story)
 
@@ -123,10 +128,7 @@
             world.network.cut(f"c{number}", "state", REFUSE)
         await world.until(lambda: world.leader() == later)
         assert await world.cancel(doomed, later) == "cancelled"
-        world.state.outage = True
-        await curio.sleep(CANCEL_S + 8)
-        assert not world.held(doomed)
-        assert world.running(stays) == 3
+        await sit_out_an_outage(world, stays, doomed)
         await world.network.heal_all()
         world.state.outage = False
         await curio.sleep(LEASE_S)
@@ -184,10 +186,7 @@
         await curio.sleep(1)
         leader = leader_of(world)
         assert await world.cancel(doomed, (leader + 1) % 3) == "cancelled"
-        world.state.outage = True
-        await curio.sleep(CANCEL_S + 8)
-        assert not world.held(doomed)
-        assert world.running(stays) == 3
+        await sit_out_an_outage(world, stays, doomed)
         world.state.outage = False
         await curio.sleep(LEASE_S)
         assert {world.starts[f"{stays}/{index}"] for index in range(3)} == {1}
