--- a/bench/meetings.py
+++ b/bench/meetings.py
@@ -24,6 +24,7 @@
 import click
 import pytest
 
+from micadeal.controller.desk import Spread
 from micadeal.controller.dispatcher import Dispatcher
 from micadeal.controller.errands import Errands
 from micadeal.controller.intake import Intake
@@ -79,8 +80,8 @@
 
 
 def _tells_alone(patch: pytest.MonkeyPatch) -> None:
-    async def alone(self: Node, job_id: str) -> bool:
-        return True
+    async def alone(self: Node, job_id: str) -> Spread:
+        return Spread(True, True)
 
     patch.setattr(Node, "_spread", alone)
 
--- a/micadeal/controller/desk.py
+++ b/micadeal/controller/desk.py
@@ -13,10 +13,11 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import NamedTuple, TypeVar
 
 import curio
 
-from micadeal.clock import seconds, steady, wall
+from micadeal.clock import DRIFT, seconds, steady, wall
 from micadeal.fleet.offers import Market
 from micadeal.http.message import Answer, answer, error
 from micadeal.jobs.validate import (
@@ -48,12 +49,18 @@
 
 log = logging.getLogger(__name__)
 
+T = TypeVar("T")
+
 #: Final answers remembered; older ones are read again.
 REMEMBERED = 20_000
 RETRY = timedelta(seconds=1)
 SUBMIT_TIME = seconds(2)
 #: Reads for one question under way at once.
 READS_AT_ONCE = 6
+FINAL = (Status.DONE, Status.CANCELLED)
+#: For so long a leader's word on what runs tells what may start, where no leader can be asked:
+#: until the next one has read its records, ordinarily.
+COUNTS_TIME = seconds(10)
 #: Of longer lists of jobs to wait for, those found once are not looked up again: a repetition after
 #: a 503 then comes further.
 FEW_NAMES = 16
@@ -71,6 +78,15 @@
     needs: tuple[str, ...] = ()
 
 
+class Spread(NamedTuple):
+    """How far a cancellation has got."""
+
+    #: So many controllers know of it that a user may be told, as far as that goes.
+    enough: bool
+    #: A leader says that no task of the job can start any more.
+    settled: bool
+
+
 class Unreadable(StateError):
     """A record that can't be read, now or later."""
 
@@ -94,19 +110,22 @@
         self,
         state: StateService,
         teams: dict[str, Team],
-        spread: Callable[[str], Awaitable[bool]],
+        spread: Callable[[str], Awaitable[Spread]],
         cancel_time: timedelta,
     ) -> None:
-        """``spread`` makes a cancellation known to the other controllers; False: not to enough of
-        them that a user may be told."""
+        """``spread`` makes a cancellation known to the other controllers."""
         self._state = state
         self._teams = teams
         self._market = Market()
         self._spread = spread
         self._cancel_time = cancel_time
         self._final: OrderedDict[str, JobAnswer] = OrderedDict()
-        #: Jobs that were found accepted when a long list named them.
+        #: Jobs that we accepted, or found accepted when a long list named them.
         self._accepted: OrderedDict[str, None] = OrderedDict()
+        #: Jobs that are recorded done or cancelled, by the word of others, and not read here yet.
+        self._over: OrderedDict[str, None] = OrderedDict()
+        #: Cancelled jobs of which too much may still start, and since when enough know of them.
+        self._unsettled: OrderedDict[str, timedelta] = OrderedDict()
         #: Jobs that wait for no others, and the version of their records: as long as that holds
         #: they are neither done nor cancelled.
         self._alone: OrderedDict[str, int] = OrderedDict()
@@ -114,6 +133,9 @@
         #: All jobs that need one that was cancelled before this instant are recorded cancelled.
         self._cascaded: timedelta | None = None
         self._counts: dict[str, Counts] = {}
+        #: Jobs of which all tasks run, and when a leader said so.
+        self._all_started: frozenset[str] = frozenset()
+        self._counted: timedelta | None = None
         #: When a user was last told "cancelled" here; what an earlier process told is not known.
         self.last_cancel = steady()
 
@@ -124,13 +146,31 @@
     def set_catalog(self, types: list[MachineType]) -> None:
         self._market.types = {kind.name: kind for kind in types}
 
-    def set_counts(self, counts: list[Counts]) -> None:
+    def set_counts(self, counts: list[Counts], all_started: list[str]) -> None:
         self._counts = {entry.job_id: entry for entry in counts}
+        self._all_started, self._counted = frozenset(all_started), steady()
+
+    @property
+    def counts(self) -> list[Counts]:
+        """As a leader told them last."""
+        return list(self._counts.values())
+
+    def all_started(self) -> frozenset[str]:
+        """Jobs of which each task that is not done runs, by a leader's last word if that is not
+        old: nothing of them can start, unless it was lost since."""
+        if self._counted is None or steady() - self._counted > COUNTS_TIME:
+            return frozenset()
+        return self._all_started
 
     def set_cascaded(self, until: timedelta | None) -> None:
         """The leader's word on which cancellations have reached all jobs after them."""
         self._cascaded = until
 
+    def over(self, job_id: str) -> None:
+        """Another controller, or our own leader's actor, knows that a job's end is recorded."""
+        if job_id not in self._final:
+            _keep(self._over, job_id, None)
+
     # -- requests --------------------------------------------------------------------------
 
     async def submit(self, body: bytes) -> Answer:
@@ -177,8 +217,12 @@
                     return answer(200, known)
                 item = await self._state.get(JOBS + job_id)
                 if item is None:
-                    found = await self._ended(job_id)
-                    return error(404, "no such job") if found is None else answer(200, found)
+                    found = await self._look_up(job_id)
+                    if found is None:
+                        return error(404, "no such job")
+                    if found.status in FINAL:
+                        return answer(200, found)
+                    continue
                 try:
                     await self._write_cancel(job_id, item)
                 except Conflict:
@@ -207,8 +251,9 @@
             return answer(200, known)
         now = wall().timestamp()
         record = JobRecord(spec, now)
+        too_large = error(400, "the job's description is too large for the state service")
         if not self._state.present.fits(record):
-            return error(400, "the job's description is too large")
+            return await self._unless_known(job_id, too_large)
         accepted = JobAnswer(job_id, Status.CANCELLED if cancelled else Status.PENDING)
         changes = [Put(JOBS + job_id, record)]
         if cancelled:
@@ -220,9 +265,13 @@
                 # The service's limits are lower by now than when this controller was started.
                 parts = split(record, self._state.limits)
                 if parts is None:
-                    return error(400, "the job's description is too large for the state service")
+                    return await self._unless_known(job_id, too_large)
                 await self._put_new(job_id, parts)
-            return answer(201, self._remember(accepted) if cancelled else accepted)
+            _keep(self._accepted, job_id, None)
+            if cancelled:
+                return answer(201, self._remember(accepted))
+            if not self._outdated(job_id, accepted):
+                return answer(201, accepted)
         except Unavailable:
             return error(503, "the state service does not answer", RETRY)
         except (Conflict, StateError) as problem:
@@ -262,9 +311,7 @@
                 raise Impossible(f"{name}, which it waits for, was never accepted")
             if job.service:
                 raise Impossible(f"{name}, which it waits for, is a service and never done")
-            self._accepted[name] = None
-        while len(self._accepted) > REMEMBERED:
-            self._accepted.popitem(last=False)
+            _keep(self._accepted, name, None)
         if any(job is not None and job.end is Status.CANCELLED for job in found.values()):
             return True
         return await self._needs_cancelled(found, steady())
@@ -349,8 +396,22 @@
     async def _look_up(self, job_id: str) -> JobAnswer | None:
         """The state of a job by reads that begin now; None: never accepted.
 
-        The job's record is read before its end: it only ever turns from the one into the other.
+        Guards ``went_back``: where something newer became known here while the reads were under
+        way, a user may have been told that by now, and they are made once more.
         """
+        found = await self._read(job_id)
+        return await self._read(job_id) if self._outdated(job_id, found) else found
+
+    def _outdated(self, job_id: str, found: JobAnswer | None) -> bool:
+        if found is None:
+            return job_id in self._accepted
+        if found.status in FINAL:
+            return False
+        return job_id in self._final or job_id in self._over
+
+    async def _read(self, job_id: str) -> JobAnswer | None:
+        """The job's record is read before its end: it only ever turns from the one into the
+        other."""
         if (known := self._final.get(job_id)) is not None:
             return known
         asked = steady()
@@ -363,11 +424,10 @@
             return await self._ended(job_id)
         if waits_for_others(item.value):
             if await self._orphan(job_id, item, asked):
-                return await self._ended(job_id)
+                # As long as it waited nothing of it could start.
+                return await self._ended(job_id, settled=True)
         else:
-            self._alone[job_id] = item.version
-            if len(self._alone) > REMEMBERED:
-                self._alone.popitem(last=False)
+            _keep(self._alone, job_id, item.version)
         return self._going_on(job_id)
 
     def _going_on(self, job_id: str) -> JobAnswer:
@@ -397,7 +457,7 @@
             log.debug("%s has ended meanwhile", job_id)
         return True
 
-    async def _ended(self, job_id: str) -> JobAnswer | None:
+    async def _ended(self, job_id: str, settled: bool = False) -> JobAnswer | None:
         item = await self._state.get(ENDS + job_id)
         if item is None:
             return None
@@ -405,22 +465,41 @@
         done = end.tasks if end.status is Status.DONE else None
         found = JobAnswer(job_id, end.status, done, 0 if done else None)
         if end.status is Status.CANCELLED:
-            return await self._tell_cancelled(found)
+            return await self._tell_cancelled(found, settled)
         return self._remember(found)
 
-    async def _tell_cancelled(self, found: JobAnswer) -> JobAnswer:
+    async def _tell_cancelled(self, found: JobAnswer, settled: bool = False) -> JobAnswer:
         """Guards ``ran_cancelled``: before a user is told, so many controllers know of it that any
-        which stands in for the leader will hear of it, whoever crashes meanwhile."""
-        if not await self._spread(found.job_id):
-            log.info("%s is cancelled, not confirmed: too few controllers know", found.job_id)
+        which stands in for the leader will hear of it, whoever crashes meanwhile.  And no task of
+        the job starts after that: a leader has seen that none can any more, or every task has been
+        gone for certain, as if the user had been told when enough had heard of it."""
+        job_id = found.job_id
+        spread = await self._spread(job_id)
+        if not spread.enough:
+            log.info("%s is cancelled, not confirmed: too few controllers know", job_id)
             raise StateError("recorded, but too few controllers know of it")
+        now = steady()
+        if not (settled or spread.settled):
+            if job_id not in self._unsettled:
+                self.last_cancel = now
+                _keep(self._unsettled, job_id, now)
+            if now - self._unsettled[job_id] <= self._cancel_time * (1 + 2 * DRIFT):
+                log.info("%s is cancelled, not confirmed: a task may still start", job_id)
+                raise StateError("recorded, but a task of it may still start")
+        self._unsettled.pop(job_id, None)
         log.debug("%s is told to be cancelled", found.job_id)
         return self._remember(found)
 
     def _remember(self, final: JobAnswer) -> JobAnswer:
         if final.status is Status.CANCELLED:
             self.last_cancel = steady()
-        self._final[final.job_id] = final
-        while len(self._final) > REMEMBERED:
-            self._final.popitem(last=False)
+        _keep(self._final, final.job_id, final)
+        self._over.pop(final.job_id, None)
         return final
+
+
+def _keep(known: OrderedDict[str, T], job_id: str, what: T) -> None:
+    """Remember one more job, and forget the one that has been known for longest."""
+    known[job_id] = what
+    if len(known) > REMEMBERED:
+        known.popitem(last=False)
--- a/micadeal/controller/dispatcher.py
+++ b/micadeal/controller/dispatcher.py
@@ -38,6 +38,7 @@
     Reply,
     ReportIn,
     Retire,
+    StartsWanted,
     StockTold,
     StockWanted,
     Tick,
@@ -102,19 +103,26 @@
         levels: Levels,
         timing: Timing | None = None,
         cancelled: Iterable[str] = (),
+        over: Callable[[str], None] = lambda job_id: None,
+        all_started: frozenset[str] = frozenset(),
     ) -> None:
         """``levels``: as of when the term began; ``timing``: of standing in for a leader, None:
-        nobody ever does; ``cancelled``: jobs on our list of cancellations."""
+        nobody ever does; ``cancelled``: jobs on our list of cancellations; ``over``: told of each
+        job that turns out to be done or cancelled; ``all_started``: jobs of which all tasks ran, by
+        the last word of the leader before."""
         super().__init__(bound=2000)
         now = steady()
         self._platform = platform
         self._term = term
         self._resign = resign
+        self._over = over
         self._peers: list[PeerContact | None] = [None for _ in platform.peers]
         self._timing = timing
         self._views: tuple[View, ...] = ()
         self._told_by: timedelta | None = None
-        self._cluster = Cluster(term.token, platform.workers, platform.teams, now)
+        self._cluster = Cluster(
+            term.token, platform.workers, platform.teams, now, all_started=all_started
+        )
         self._scheduler = Scheduler(self._cluster, Market(), Policy(), platform.objectives, now)
         if types:
             self._scheduler.set_catalog(types)
@@ -202,6 +210,8 @@
     async def receive(self, message: Any) -> Any:
         began = steady()
         result = self._take(message)
+        while self._cluster.ended:
+            self._over(self._cluster.ended.pop())
         now = steady()
         self._effort.add("reports" if isinstance(message, ReportIn) else "messages", now - began)
         power = self._power()
@@ -326,11 +336,13 @@
             case Written():
                 self._written(message)
             case ProgressWanted():
-                return Progress(scheduler.counts(), self._cascaded)
+                return Progress(scheduler.counts(), self._cascaded, scheduler.all_started())
             case LeftWanted(job_id):
                 # Without a lease that holds, another leader may have started what we know not of.
                 certain = self._loaded and self._power() is Power.FULL
                 return not certain or self._cluster.left_of(job_id)
+            case StartsWanted(job_id):
+                return self._cluster.may_start(job_id)
             case WhyWanted(job_id):
                 return answers.why(scheduler, job_id, now)
             case OverviewWanted():
--- a/micadeal/controller/mesh.py
+++ b/micadeal/controller/mesh.py
@@ -182,25 +182,30 @@
                 return await self.send(name, "/relay", Relay(report, 0), Relayed, RELAY_TIME * 1.5)
         raise HttpError(f"no way to {leader}")
 
-    async def notify_cancel(self, job_id: str, needed: int) -> bool:
-        """Tell all peers of a cancellation; whether ``needed`` of them have put it on their list.
+    async def notify_cancel(self, job_id: str, needed: int) -> dict[str, bool]:
+        """Tell all peers of a cancellation.  Those that have put it on their list, and whether they
+        lead and a task of the job may still start.
 
-        Returns as soon as that is so; the rest are told all the same.
+        Returns when all that were heard of lately, and ``needed`` if so many can be had, have
+        answered; the rest are told all the same.
         """
         answers: curio.Queue = curio.Queue()
 
         async def tell(name: str) -> None:
-            told = False
+            held: bool | None = None
             try:
-                told = await self.send(name, "/notice", Notice(job_id), bool, NOTICE_TIME)
+                held = not await self.send(name, "/notice", Notice(job_id), bool, NOTICE_TIME)
             except HttpError as problem:
                 log.debug("notice to %s: %s", name, problem)
-            await answers.put(told)
+            await answers.put((name, held))
 
-        for name in self._links:
+        waiting, fresh = set(self._links), set(self.reaches())
+        for name in waiting:
             await curio.spawn(tell, name, daemon=True)
-        for _ in self._links:
-            if needed <= 0:
-                break
-            needed -= await answers.get()
-        return needed <= 0
+        listed: dict[str, bool] = {}
+        while waiting & fresh or (waiting and len(listed) < needed):
+            name, held = await answers.get()
+            waiting.discard(name)
+            if held is not None:
+                listed[name] = held
+        return listed
--- a/micadeal/controller/messages.py
+++ b/micadeal/controller/messages.py
@@ -125,6 +125,13 @@
     job_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class StartsWanted:
+    """Whether a task of a cancelled job may still start; answered with a bool."""
+
+    job_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class EndRead:
     """The end of a job that others wait for; None: there is none, or it can't be read."""
@@ -186,6 +193,8 @@
     counts: list[Counts]
     #: All jobs that need one that was cancelled before this instant are recorded cancelled.
     cascaded: timedelta | None
+    #: Jobs of which each task that is not done runs.
+    all_started: list[str]
 
 
 @dataclass(frozen=True, slots=True)
--- a/micadeal/controller/node.py
+++ b/micadeal/controller/node.py
@@ -10,8 +10,8 @@
 import curio
 
 from micadeal.actor import Overloaded, keep_running
-from micadeal.clock import seconds, steady, wall
-from micadeal.controller.desk import Desk
+from micadeal.clock import ZERO, seconds, steady, wall
+from micadeal.controller.desk import Desk, Spread
 from micadeal.controller.dispatcher import Dispatcher
 from micadeal.controller.helpers import keep_reading
 from micadeal.controller.levels import Levels
@@ -26,6 +26,7 @@
     Reply,
     ReportIn,
     Retire,
+    StartsWanted,
     WhyWanted,
 )
 from micadeal.controller.standing import TOUCH, Standing
@@ -52,7 +53,7 @@
 from micadeal.waiting import sleep
 from micadeal.wire.cloud import MachineType
 from micadeal.wire.codec import BadMessage, convert, decode
-from micadeal.wire.mesh import Notice, Overview, Ping, Pong, Relay, Relayed, WhyAnswer
+from micadeal.wire.mesh import Counts, Notice, Overview, Ping, Pong, Relay, Relayed, WhyAnswer
 from micadeal.wire.state import Condition, Put, SettingsRecord
 from micadeal.wire.workers import Orders, Redirect, Report
 
@@ -68,6 +69,10 @@
 #: would drop out, and the balancer would keep it out after the outage is over.
 PEER_CONTACT_TIME = seconds(2.5)
 RETRY = seconds(1)
+#: How long a cancellation waits for the last start of its job to be heard of, and how often it
+#: looks: within the time that a notice has.
+START_TIME = seconds(0.6)
+START_LOOK = seconds(0.05)
 CATALOG_EVERY = seconds(300)
 #: A worker's report is held for so long at most while the next leader is being elected, and for so
 #: much of a lease: workers give an answer up after 4 s, and have more controllers to try in time.
@@ -205,6 +210,8 @@
                     self._levels,
                     self._timing,
                     () if self._standing is None else self._standing.told(),
+                    self._desk.over,
+                    self._desk.all_started(),
                 )
                 self._mesh.leading_token = term.token
                 self._term_task = await curio.spawn(self._dispatcher.run, daemon=True)
@@ -273,6 +280,8 @@
         return True
 
     async def _on_pong(self, name: str, pong: Pong, cancelled: list[str]) -> None:
+        for job_id in cancelled:
+            self._desk.over(job_id)
         # The term may end while an answer is waited for.
         dispatcher = self._dispatcher
         if dispatcher is not None:
@@ -280,10 +289,11 @@
                 # Only now: it may say that every cancellation is known.
                 await self._tell(self._peer_news())
             progress = await dispatcher.ask(ProgressWanted(), ASK_TIME)
-            self._desk.set_counts(progress.counts)
+            if not dispatcher.reading:
+                self._desk.set_counts(progress.counts, progress.all_started)
             self._desk.set_cascaded(progress.cascaded)
         elif pong.leading and name == self._leader:
-            self._desk.set_counts(pong.counts)
+            self._desk.set_counts(pong.counts, pong.all_started)
             self._desk.set_cascaded(self._mesh.cascaded(name))
 
     def _peer_news(self) -> PeerNews:
@@ -303,8 +313,8 @@
         contact = self._state.answered
         return contact is not None and steady() - contact < TOUCH
 
-    async def _spread(self, job_id: str) -> bool:
-        """Make a cancellation known to the leader and to the others; whether a user may be told."""
+    async def _spread(self, job_id: str) -> Spread:
+        """Make a cancellation known to the leader and to the others."""
         needed = 0
         if self._standing is not None and self._timing is not None:
             self._standing.note(job_id, steady())
@@ -312,13 +322,39 @@
         dispatcher = self._dispatcher
         if dispatcher is not None:
             await self._pass_on([job_id])
-        if await self._mesh.notify_cancel(job_id, needed):
-            return True
+        listed = await self._mesh.notify_cancel(job_id, needed)
+        if len(listed) >= needed:
+            if self._dispatcher is not None:
+                starts = await self._may_start(job_id)
+            elif self._leader in listed:
+                starts = listed[self._leader]
+            else:
+                starts = job_id not in self._desk.all_started()
+            return Spread(True, not starts and not any(listed.values()))
         # Alone, a leader may say so once nothing of the job is left that anybody could keep alive.
         try:
-            return dispatcher is not None and not await dispatcher.ask(LeftWanted(job_id), ASK_TIME)
+            left = dispatcher is None or await dispatcher.ask(LeftWanted(job_id), ASK_TIME)
         except (Overloaded, TimeoutError):
-            return False
+            left = True
+        return Spread(not left, not left)
+
+    async def _may_start(self, job_id: str) -> bool:
+        """As leader: whether a task of a job that is cancelled may still start.  Waits a little for
+        its stops to be heard of."""
+        until = steady() + START_TIME
+        while (dispatcher := self._dispatcher) is not None:
+            if dispatcher.reading:
+                return job_id not in self._desk.all_started()
+            rest = until - steady()
+            if rest <= ZERO:
+                return True
+            try:
+                if not await dispatcher.ask(StartsWanted(job_id), rest):
+                    return False
+            except (Overloaded, TimeoutError):
+                return True
+            await sleep(START_LOOK)
+        return True
 
     # -- users and workers -----------------------------------------------------------------
 
@@ -558,11 +594,16 @@
         self._levels.told(ping.leading_token, ping.process)
         if ping.leading_token > 0 and not ping.reading:
             self._hear_leader(ping.controller, ping.leading_token)
-        counts = []
+        counts: list[Counts] = []
+        all_started: list[str] = []
         cascade_age = None
         if ping.wants_counts and self._dispatcher is not None:
             progress = await self._dispatcher.ask(ProgressWanted(), timedelta(milliseconds=500))
-            counts = progress.counts
+            # Before the records have come: as the leader before told them.
+            if self._dispatcher.reading:
+                counts, all_started = self._desk.counts, list(self._desk.all_started())
+            else:
+                counts, all_started = progress.counts, progress.all_started
             if progress.cascaded is not None:
                 cascade_age = (steady() - progress.cascaded).total_seconds() * 1000
         word = None
@@ -584,6 +625,7 @@
                 cascade_age,
                 word,
                 self._levels.introduction(steady()),
+                all_started,
             ),
         )
 
@@ -601,9 +643,11 @@
         job_id = decode(Notice, request.body).job_id
         if self._standing is not None:
             self._standing.note(job_id, steady())
-        if self._dispatcher is not None:
-            await self._pass_on([job_id])
-        return answer(200, True)
+        self._desk.over(job_id)
+        if self._dispatcher is None:
+            return answer(200, True)
+        await self._pass_on([job_id])
+        return answer(200, not await self._may_start(job_id))
 
     async def _on_why(self, request: Request) -> Answer:
         if self._dispatcher is None:
--- a/micadeal/fleet/model.py
+++ b/micadeal/fleet/model.py
@@ -32,6 +32,13 @@
     stop: timedelta | None = None
     stop_since: timedelta | None = None
     running_since: timedelta | None = None
+    #: It ran under the leader before, by that one's word.
+    started: bool = False
+
+    @property
+    def unstarted(self) -> bool:
+        """Its task may start yet: it is on its machine from when it has its image."""
+        return not self.started and self.state in (None, TaskState.FETCHING)
 
     @property
     def key(self) -> AttemptKey:
--- a/micadeal/scheduling/cluster.py
+++ b/micadeal/scheduling/cluster.py
@@ -104,6 +104,10 @@
     #: Where timing is switched on: class of each task that ended, and the time that it took as a
     #: multiple of its estimate.
     ends: list[tuple[str, float]] | None = None
+    #: Jobs of which all tasks ran, by the last word of the leader before.
+    all_started: frozenset[str] = frozenset()
+    #: Jobs that turned out to be over, and of which users have to be told so from now on.
+    ended: list[str] = field(default_factory=list)
     #: Which of the jobs wait for which others.
     pipelines: Pipelines = field(init=False)
     _attempts: int = 0
@@ -132,6 +136,7 @@
         if job is None or job.over:
             return
         job.over = True
+        self.ended.append(job_id)
         self.pipelines.gone(job)
         self.changed = True
         for attempt in list(job.all_attempts()):
@@ -232,6 +237,7 @@
                 attempt = Attempt(
                     placed.job_id, placed.index, placed.attempt, entry.name, now, record=key
                 )
+                attempt.started = placed.job_id in self.all_started
                 if attempt.key in machine.attempts:
                     self.shrunk.setdefault(key, now)
                     continue
@@ -675,6 +681,11 @@
         job = self.jobs.get(job_id)
         return job is not None and (not job.over or bool(job.attempts))
 
+    def may_start(self, job_id: str) -> bool:
+        """Whether a task of a job that is cancelled may still start."""
+        job = self.jobs.get(job_id)
+        return job is not None and (not job.over or job.may_start)
+
     def usage(self) -> dict[str, tuple[float, float]]:
         """(cpus, gpus) per team of everything that may be on a machine."""
         used: dict[str, list[float]] = {name: [0.0, 0.0] for name in self.teams}
--- a/micadeal/scheduling/scheduler.py
+++ b/micadeal/scheduling/scheduler.py
@@ -572,6 +572,14 @@
                     break
         return result
 
+    def all_started(self, most: int = 2000) -> list[str]:
+        """Jobs of which each task that is not done runs: none of them can start."""
+        return [
+            job.id
+            for job in self.cluster.jobs.values()
+            if job.attempts and not job.waiting_count() and not job.may_start
+        ][:most]
+
     def state_counts(self, now: timedelta) -> Counter[str]:
         states: Counter[str] = Counter()
         for job in self.cluster.live_jobs():
--- a/micadeal/wire/mesh.py
+++ b/micadeal/wire/mesh.py
@@ -80,12 +80,15 @@
     word: Word | None = None
     # None: it is of a version that knows of no levels.
     process: Process | None = None
+    # A leader's word: jobs of which each task that is not done runs.
+    all_started: list[str] = []
 
 
 class Notice(msgspec.Struct):
     """A job is cancelled (``/notice``), or is asked about (``/why``).
 
-    The answer to a notice is also the receiver's word that it has put the job on its list.
+    An answer to a notice is also the receiver's word that it has put the job on its list.  False:
+    it leads, and a task of the job may still start.
     """
 
     job_id: str
--- a/tests/fakes/state.py
+++ b/tests/fakes/state.py
@@ -33,6 +33,12 @@
         #: Transactions refused for their size.
         self.refused = 0
         self.largest_txn = 0
+        #: Changes a second that it takes, with a burst of a second's worth; None: any number.
+        self.changes_per_s: float | None = None
+        #: Requests refused since there were more, and all changes.
+        self.too_many = 0
+        self.changes = 0
+        self._bucket = (0.0, 0.0)
         #: How long a transaction that records a cancellation is under way.
         self.cancel_delay = 0.0
 
@@ -96,6 +102,8 @@
             for c in changes
         ):
             await curio.sleep(self.cancel_delay)
+        if self._exceeds(len(changes)):
+            return error(429, "too many changes")
         values = [c["data"] for c in changes if "put" in c]
         if (
             len(changes) > self.txn_ops
@@ -128,6 +136,20 @@
             await self._wake()
         return answer(200, {"ledger": self.revision})
 
+    def _exceeds(self, changes: int) -> bool:
+        """Whether so many changes are more than the rate allows now."""
+        self.changes += changes
+        if self.changes_per_s is None or not changes:
+            return False
+        left, at = self._bucket
+        now = steady().total_seconds()
+        left = min(self.changes_per_s, left + (now - at) * self.changes_per_s) - changes
+        if left < 0:
+            self.too_many += 1
+            return True
+        self._bucket = (left, now)
+        return False
+
     async def _lease(self, request: Request) -> Answer:
         now = steady().total_seconds()
         if request.path == "/leases":
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -256,6 +256,8 @@
         service = await world.run_job("daemon", 4, scatter=True, rank="production")
         gang = await world.run_job("gang", 2, run_s=300.0, crew="blue")
         await world.until(lambda: world.running(service) == 4 and world.running(gang) == 2)
+        # All know that it runs: else none can be sure, without its leader, that nothing starts.
+        await curio.sleep(2)
         leader = leader_of(world)
         alone = leader if leads else (leader + 1) % 3
         rest = [n for n in range(3) if n != alone]
