--- a/bench/fault_histories.py
+++ b/bench/fault_histories.py
@@ -5,7 +5,8 @@
 
 Each pair of faults is played in turn, at instants drawn from the seed
 (``tests/fakes/fault_histories.py``).  What breaks is printed with its seed; ``--seed`` plays one
-history again.  The exit code is 1 if something broke.
+history again, and ``--events FILE`` writes down every request that it sends: for the same seed
+these are the same in every process.  The exit code is 1 if something broke.
 
 ``--guards`` disables the guards of the code in turn, and plays histories of the faults that each is
 meant for until one breaks a rule.  The exit code is 1 if a guard broke nothing.
@@ -20,6 +21,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import replace
 from datetime import timedelta
+from pathlib import Path
 from typing import Any, NamedTuple
 
 import click
@@ -68,13 +70,17 @@
     broken: str
 
 
+def faults_of(seed: int) -> tuple[str, ...]:
+    """Return the pair of faults that this seed takes; none: it draws its own."""
+    drawn = seed % DRAWN_EVERY == DRAWN_EVERY - 1
+    return () if drawn else PAIRS[(seed - seed // DRAWN_EVERY) % len(PAIRS)]
+
+
 def play(seed: int) -> Outcome:
     """Play the history with this seed."""
-    drawn = seed % DRAWN_EVERY == DRAWN_EVERY - 1
-    kinds = () if drawn else PAIRS[(seed - seed // DRAWN_EVERY) % len(PAIRS)]
-    history = History(seed, kinds)
+    history = History(seed, faults_of(seed))
     broken = history.play()
-    return Outcome(history.line(), tuple(kinds), broken, history.gone_after)
+    return Outcome(history.line(), faults_of(seed), broken, history.gone_after)
 
 
 # -- guards that can be disabled; each function disables one ------------------------------------
@@ -222,6 +228,16 @@
     return 1 if useless else 0
 
 
+def play_one(seed: int, events_file: Path | None) -> int:
+    """Play one history in this process and print what broke; return the exit code."""
+    history = History(seed, faults_of(seed))
+    broken = history.play()
+    if events_file is not None:
+        events_file.write_text("".join(f"{event}\n" for event in history.events))
+    click.echo(f"{history.line()}: {'; '.join(broken[:MAX_SHOWN]) or 'nothing broke'}")
+    return 1 if broken else 0
+
+
 def play_all(seeds: Sequence[int], workers: int) -> int:
     """Play histories and print what broke; return the exit code."""
     pairs: Counter[tuple[str, ...]] = Counter()
@@ -251,13 +267,19 @@
 @click.option("--first", default=0, show_default=True, help="The first seed.")
 @click.option("--workers", default=8, show_default=True, help="Processes.")
 @click.option("--seed", default=None, type=int, help="Play only the history with this seed.")
+@click.option("--events", type=click.Path(path_type=Path), help="With --seed: write its requests.")
 @click.option("--guards", is_flag=True, help="Disable each guard in turn.")
-def main(histories: int, first: int, workers: int, seed: int | None, guards: bool) -> None:
+def main(
+    histories: int, first: int, workers: int, seed: int | None, events: Path | None, guards: bool
+) -> None:
     """Print what broke, and how soon cancelled tasks were gone."""
+    if events is not None and seed is None:
+        raise click.UsageError("--events goes with --seed")
     if guards:
         sys.exit(play_without_guards(workers))
-    seeds = range(first, first + histories) if seed is None else [seed]
-    sys.exit(play_all(seeds, workers))
+    if seed is not None:
+        sys.exit(play_one(seed, events))
+    sys.exit(play_all(range(first, first + histories), workers))
 
 
 if __name__ == "__main__":
--- a/tests/fakes/fault_histories.py
+++ b/tests/fakes/fault_histories.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -15,6 +16,7 @@
 import curio
 import pytest
 
+from micadeal.http.message import Request
 from tests.fakes.deployment_settings import FOLLOWERS_RENEW_AFTER_S
 from tests.fakes.faults import controllers, machines, state_service, users
 from tests.fakes.faults.context import Fault, FaultContext
@@ -31,6 +33,9 @@
 MAX_JOBS = 14
 MAX_CANCELLATIONS = 7
 
+#: Characters of the digest of a request's body in the events.
+EVENT_DIGEST_LENGTH = 12
+
 #: Kinds of faults by name.  Seeds draw from the sorted names: a renamed one changes histories.
 FAULTS: dict[str, Fault] = {
     "leader refused": state_service.leader_refused_by_state,
@@ -84,6 +89,9 @@
         world = World(seed, renew_leases_as_follower=renew_leases_as_follower, boot_s=3.0)
         super().__init__(world, draw)
         self._faults_in_progress = 0
+        #: Every request that was sent, a line each: when, by whom, where to, and what.
+        self.events: list[str] = []
+        world.network.on_sent = self._note_request
 
     def line(self) -> str:
         """Describe the history in one line."""
@@ -91,6 +99,13 @@
         switched = "" if self.world.renew_leases_as_follower else ", followers renew no leases"
         return f"seed {self.seed}: {faults}{switched}"
 
+    def _note_request(self, source: str, address: str, request: Request) -> None:
+        body = hashlib.sha256(request.body).hexdigest()[:EVENT_DIGEST_LENGTH]
+        target = f"{request.path}?{request.query}" if request.query else request.path
+        self.events.append(
+            f"{now_s():.6f} {source} {address} {request.method} {target} bytes={body}"
+        )
+
     def play(self) -> list[str]:
         """Run the history; return the rules that it broke."""
         with pytest.MonkeyPatch.context() as patch:
--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -62,6 +62,8 @@
         self.answer_lost: Callable[[str, str, Request], bool] | None = None
         #: Copies of a request to deliver: how many seconds later, and at which address.
         self.duplicates: Callable[[str, str, Request], Iterable[tuple[float, str]]] | None = None
+        #: Called with each request as it is sent.
+        self.on_sent: Callable[[str, str, Request], None] | None = None
         #: How many seconds later than usual an answer comes.
         self.answer_delay: Callable[[str, str, Request], float] | None = None
         #: How many seconds later a request is carried out, without an answer; None: as usual.
@@ -102,6 +104,8 @@
         """Deliver a request of ``source`` and return the answer, under the present faults."""
         deadline = monotonic() + timeout
         sent = _Sent(source, address, request)
+        if self.on_sent is not None:
+            self.on_sent(*sent)
         await self._travel()
         if address not in self._servers:
             raise HttpError(f"{address}: refused")
