Repeatable runs: what is sent first no longer depends on memory addresses and hash seeds

Direct commands, probes, finished jobs and keys to drop were sets of texts (hash seed), the attempts of a placement record, background tasks and the waiters of curio's events sets of objects (memory addresses); peers were notified in the order of a set. Change: OrderedSet for those of the leader, so that what waits longest is sent first, whatever the process; the stepped kernel wakes waiters in order and counts process ids.

--- a/micadeal/controller/background_tasks.py
+++ b/micadeal/controller/background_tasks.py
@@ -11,6 +11,7 @@
 
 from micadeal.clock import seconds
 from micadeal.fleet.cloud import CloudError
+from micadeal.ordered_set import OrderedSet
 from micadeal.timeouts import sleep
 
 log = logging.getLogger(__name__)
@@ -25,7 +26,7 @@
     """Owns the tasks of one actor; a failure of one stops neither the others nor the actor."""
 
     def __init__(self) -> None:
-        self._tasks: set[Any] = set()
+        self._tasks: OrderedSet[Any] = OrderedSet()
 
     async def spawn(self, work: Callable[..., Awaitable[None]], *args: Any) -> None:
         """Run ``work(*args)`` in a task of its own; an exception that it raises is logged."""
--- a/micadeal/controller/peer_links.py
+++ b/micadeal/controller/peer_links.py
@@ -18,6 +18,7 @@
 from micadeal.http.network import HttpClient, Network
 from micadeal.leadership.term import PeerContact
 from micadeal.operator.platform import Peer
+from micadeal.ordered_set import OrderedSet
 from micadeal.rollout.membership import PRESENCE_TIMEOUT
 from micadeal.timeouts import sleep
 from micadeal.wire.codec import MessageFormatError, decode, encode
@@ -246,7 +247,7 @@
         and ``needed`` of them if so many answer at all; the others are notified all the same.
         """
         answers: curio.Queue = curio.Queue()
-        waiting, reachable = set(self._links), set(self.reaches())
+        waiting, reachable = OrderedSet(self._links), OrderedSet(self.reaches())
         for name in waiting:
             await curio.spawn(self._notify_peer, name, job_id, answers, daemon=True)
         listed: dict[str, bool] = {}
--- a/micadeal/controller/persistence/key_tracker.py
+++ b/micadeal/controller/persistence/key_tracker.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, MutableSet
 from dataclasses import dataclass, field
 
 from micadeal.controller.persistence.batches import Operation
 from micadeal.jobs.model import Job
+from micadeal.ordered_set import OrderedSet
 from micadeal.wire.state import Condition, Item, Put
 
 
@@ -20,7 +21,7 @@
 
     #: Version last known of each key that exists.
     versions: dict[str, int] = field(default_factory=dict)
-    pending_drops: set[str] = field(default_factory=set)
+    pending_drops: MutableSet[str] = field(default_factory=OrderedSet)
     #: Keys of placement records that a lost transaction may still create: to be used again first.
     unconfirmed: list[str] = field(default_factory=list)
     #: All keys that were ever unconfirmed in this term.
@@ -40,7 +41,7 @@
     def schedule_job_drops(self, job: Job | None) -> None:
         """Have the rest of a job's records dropped: finished tasks and parts of its description."""
         if job is not None:
-            for key in job.record_keys:
+            for key in sorted(job.record_keys):
                 self.schedule_drop(key)
 
     def mark_unconfirmed(self, key: str) -> None:
--- a/micadeal/controller/record_loader.py
+++ b/micadeal/controller/record_loader.py
@@ -74,9 +74,7 @@
             if job.complete:
                 self._cluster.jobs_with_unwritten_results.add(job.id)
         self.apply_settings(loaded.settings)
-        # A direct command to every recorded machine: its worker sees the new token, drops whatever
-        # the previous leader may still send, and reports its tasks.
-        self._cluster.pending_direct_commands |= set(self._cluster.machines)
+        self._command_all_machines()
         log.info(
             "records loaded: token=%d jobs=%d machines=%d",
             self._cluster.token,
@@ -84,6 +82,15 @@
             len(self._cluster.machines),
         )
 
+    def _command_all_machines(self) -> None:
+        """Have a direct command sent to every recorded machine.
+
+        Its worker sees the new token, drops whatever the previous leader may still send, and
+        reports its tasks.
+        """
+        for name in self._cluster.machines:
+            self._cluster.pending_direct_commands.add(name)
+
     def _load_job(self, item: Item, now: timedelta, parts: Mapping[str, Item]) -> None:
         job_id = item.key.removeprefix(JOBS)
         try:
--- a/micadeal/scheduling/cluster_state.py
+++ b/micadeal/scheduling/cluster_state.py
@@ -14,7 +14,7 @@
 
 import logging
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, MutableSet
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -25,6 +25,7 @@
 from micadeal.jobs.dependencies import JobDependencies, JobEnd
 from micadeal.jobs.model import Job
 from micadeal.operator.platform import Team, Workers
+from micadeal.ordered_set import OrderedSet
 from micadeal.wire.cloud import MachineType
 from micadeal.wire.state import EndRecord
 from micadeal.wire.users import Priority, Shape, Status, Submission
@@ -82,17 +83,17 @@
     jobs: dict[str, Job] = field(default_factory=dict)
     machines: dict[str, Machine] = field(default_factory=dict)
     #: Jobs whose set of finished tasks must be written.
-    jobs_with_unwritten_results: set[str] = field(default_factory=set)
+    jobs_with_unwritten_results: MutableSet[str] = field(default_factory=OrderedSet)
     #: Attempts that no record in the state service names yet, in the order of their placement.
     unwritten: dict[Attempt, None] = field(default_factory=dict)
     #: Keys of placement records in the state service, with the attempts of each that remain.
-    records: dict[str, set[Attempt]] = field(default_factory=dict)
+    records: dict[str, OrderedSet[Attempt]] = field(default_factory=dict)
     #: Records that name attempts which are gone, and since when.
     stale_records: dict[str, timedelta] = field(default_factory=dict)
     #: Machines that are to get their stop commands at once.
-    pending_direct_commands: set[str] = field(default_factory=set)
+    pending_direct_commands: MutableSet[str] = field(default_factory=OrderedSet)
     #: Machines that are to be probed, since their heartbeats leave something open.
-    pending_probes: set[str] = field(default_factory=set)
+    pending_probes: MutableSet[str] = field(default_factory=OrderedSet)
     #: Whether something changed that a scheduling cycle could make use of.
     changed: bool = True
     #: Machines that are certainly gone, since when: a late heartbeat or list brings none back.
@@ -239,7 +240,7 @@
 
     def placements_written(self, key: str, attempts: Iterable[Attempt], now: timedelta) -> None:
         """Take in that the state service holds a record under ``key`` naming these attempts."""
-        remaining = self.records.setdefault(key, set())
+        remaining = self.records.setdefault(key, OrderedSet())
         for attempt in attempts:
             machine = self.machines.get(attempt.machine)
             if machine is None or machine.attempts.get(attempt.key) is not attempt:
@@ -256,7 +257,7 @@
     def record_gone(self, key: str) -> None:
         """Take in that the state service holds no such record: its attempts are written anew."""
         self.stale_records.pop(key, None)
-        for attempt in self.records.pop(key, ()):
+        for attempt in self.records.pop(key, OrderedSet()):
             attempt.record = None
             self.unwritten[attempt] = None
 
--- a/micadeal/scheduling/takeover.py
+++ b/micadeal/scheduling/takeover.py
@@ -6,13 +6,14 @@
 
 from micadeal.clock import ZERO, seconds
 from micadeal.fleet.machines import Attempt, Machine
+from micadeal.ordered_set import OrderedSet
 from micadeal.scheduling.cluster_state import ClusterState, placeholder_job
 from micadeal.wire.state import EndRecord, ImagesRecord, PlacedMachine, PlacedRecord, PlacedTask
 
 
 def load_placements(cluster: ClusterState, key: str, record: PlacedRecord, now: timedelta) -> None:
     """Take over a placement record: everything that it names may be on machines."""
-    cluster.records.setdefault(key, set())
+    cluster.records.setdefault(key, OrderedSet())
     if not record.machines:
         # Emptied by an earlier leader that could not drop it.
         cluster.stale_records.setdefault(key, now)
--- a/tests/fakes/kernel.py
+++ b/tests/fakes/kernel.py
@@ -1,13 +1,21 @@
-"""A curio kernel whose time is stepped: waiting costs nothing and every run is the same."""
+"""A curio kernel whose time is stepped: waiting costs nothing and every run is the same.
+
+Nothing in a run may depend on real time, on memory addresses or on random numbers of the operating
+system: curio's events wake their waiters in the order of arrival, and the ids of processes are
+counted.
+"""
 
 from __future__ import annotations
 
+import itertools
+import secrets
 import selectors
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
 import curio
+from curio.sched import SchedBarrier
 
 from micadeal.clock import monotonic
 
@@ -42,12 +50,51 @@
         return []
 
 
+class _ArrivalOrder:
+    """The part of a set's interface that curio's barriers use, in the order of arrival.
+
+    A set of tasks is ordered by their memory addresses, which differ from run to run.
+    """
+
+    def __init__(self) -> None:
+        self._members: dict[Any, None] = {}
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def __iter__(self) -> Iterator[Any]:
+        return iter(self._members)
+
+    def add(self, member: Any) -> None:
+        self._members[member] = None
+
+    def remove(self, member: Any) -> None:
+        del self._members[member]
+
+    def pop(self) -> Any:
+        first = next(iter(self._members))
+        del self._members[first]
+        return first
+
+    def clear(self) -> None:
+        self._members.clear()
+
+
+def _begin_barrier(barrier: Any) -> None:
+    barrier._tasks = _ArrivalOrder()
+
+
 def run_stepped(main: Callable[[], Awaitable[None]], monkeypatch: Any) -> None:
-    """Run ``main`` to its end in stepped time; the process's clocks are patched for that."""
+    """Run ``main`` to its end in stepped time; what differs from run to run is patched for that."""
     clock = _Clock()
     monkeypatch.setattr(time, "monotonic", clock.monotonic)
     monkeypatch.setattr(time, "time", clock.time)
     monkeypatch.setattr("micadeal.clock._start", clock.now)
+    process_ids = itertools.count(1)
+    monkeypatch.setattr(
+        secrets, "token_hex", lambda nbytes=8: f"{next(process_ids):0{2 * nbytes}x}"
+    )
+    monkeypatch.setattr(SchedBarrier, "__init__", _begin_barrier)
     kernel = curio.Kernel(selector=_SteppingSelector(clock))
     try:
         kernel.run(main)
