Stored records: a refused end is not stored as a live job; damaged records raise nowhere

Symptom: where the state service refuses the record of a cancelled end, a job that needs a cancelled one was stored as live and called cancelled (it would have run after that); a damaged placement record read back after a write ended the handling of the outcome; damaged settings were 500 and a traceback. Cause: whatever was refused was split as a live job; two records were decoded without regard to damage. Change: a refused end is 400, and nothing is stored; both records go through decode_item, as all others do.

--- a/micadeal/controller/api/settings.py
+++ b/micadeal/controller/api/settings.py
@@ -6,6 +6,7 @@
 from micadeal.controller.api.endpoints import RETRY_AFTER
 from micadeal.http.message import Answer, Request, answer, error
 from micadeal.operator.script import check_highest_level, policy_from_values
+from micadeal.schema.decoding import decode_item
 from micadeal.schema.keys import SETTINGS
 from micadeal.state.service import (
     ConflictError,
@@ -14,7 +15,7 @@
     StateServiceError,
     Urgency,
 )
-from micadeal.wire.codec import convert, decode
+from micadeal.wire.codec import decode
 from micadeal.wire.state import Condition, Put, SettingsRecord
 
 
@@ -32,7 +33,10 @@
             return _unavailable()
         if item is None:
             return answer(200, SettingsRecord(""))
-        return answer(200, convert(SettingsRecord, item.value))
+        record = decode_item(item, SettingsRecord)
+        if record is None:
+            return error(500, "the stored settings are unreadable: apply them anew")
+        return answer(200, record)
 
     async def apply(self, request: Request) -> Answer:
         """Store settings.
--- a/micadeal/controller/api/submission.py
+++ b/micadeal/controller/api/submission.py
@@ -162,6 +162,10 @@
         try:
             await self._put_new(job_id, [put])
         except RequestRejectedError:
+            if cancelled:
+                # Guards ``went_back``: only a live job is split.  The record of an end is small
+                # and has no other form.
+                raise JobTooLargeError(job_id) from None
             # The service's limits are lower by now than when this controller was started.
             parts = split(record, self._state.limits)
             if parts is None:
--- a/micadeal/controller/persistence/placements.py
+++ b/micadeal/controller/persistence/placements.py
@@ -15,9 +15,9 @@
 from micadeal.controller.persistence.placement_chunks import PlacementChunk
 from micadeal.controller.persistence.value_sizes import VALUE_OVERHEAD
 from micadeal.controller.persistence.writer_context import WriterContext
+from micadeal.schema.decoding import decode_item
 from micadeal.schema.keys import PLACED
 from micadeal.state.service import Urgency
-from micadeal.wire.codec import convert
 from micadeal.wire.state import Delete, Item, PlacedRecord
 
 #: A record that names attempts which are gone is merged after this time.
@@ -96,12 +96,14 @@
                 self._cluster.record_gone(key)
 
     def _take_existing(self, write: PlacementWrite, item: Item, now: timedelta) -> None:
-        """Take over a record that exists, perhaps by an earlier transaction under its key."""
-        existing = {
-            (entry.name, task)
-            for entry in convert(PlacedRecord, item.value).machines
-            for task in entry.tasks
-        }
+        """Take over a record that exists, perhaps by an earlier transaction under its key.
+
+        A damaged one is left where it is, and its attempts are written under another key.
+        """
+        record = decode_item(item, PlacedRecord)
+        if record is None:
+            return
+        existing = {(entry.name, task) for entry in record.machines for task in entry.tasks}
         named = [
             attempt
             for attempt in write.attempts
