--- a/tests/fakes/scenario_steps.py
+++ b/tests/fakes/scenario_steps.py
@@ -2,23 +2,18 @@
 
 from __future__ import annotations
 
-from tests.fakes.network import SILENT
-from tests.fakes.world import World
-
-CONTROLLERS = range(3)
+import curio
 
+from tests.fakes.network import REFUSE, SILENT
+from tests.fakes.world import World, leader_of
 
-def current_leader(world: World) -> int:
-    """Return the number of the controller that leads, which there must be."""
-    leader = world.leader()
-    assert leader is not None
-    return leader
+CONTROLLERS = range(3)
 
 
 async def new_leader(world: World, former: int) -> int:
     """Wait until another controller leads, and return its number."""
     await world.wait_until(lambda: world.leader() not in (None, former), limit=10)
-    return current_leader(world)
+    return leader_of(world)
 
 
 def partition_from_controllers(world: World, machine: str, mode: str = SILENT) -> None:
@@ -36,3 +31,21 @@
 def assert_each_task_started_once(world: World) -> None:
     """Assert that no task was started again."""
     assert all(count == 1 for count in world.rules.starts.values())
+
+
+async def fail_over(world: World, how: str) -> None:
+    """Make another controller the leader, in one of the ways that the tests name."""
+    leader = leader_of(world)
+    if how == "handed over":
+        await world.nodes[leader].retire()
+        world.crash(leader)
+        await curio.sleep(1)
+        await world.start(leader)
+    elif how == "refused":
+        world.network.cut(f"c{leader}", "state", REFUSE)
+        await curio.sleep(8)
+        await world.network.heal(f"c{leader}", "state")
+    else:
+        world.crash(leader)
+        await curio.sleep(0.3 if how == "back within a second" else 5.0)
+        await world.start(leader)
--- a/tests/test_faulty_jobs.py
+++ b/tests/test_faulty_jobs.py
@@ -12,9 +12,8 @@
 from micadeal.scheduling.machine_inventory import MachineInventory
 from micadeal.scheduling.machine_monitor import MachineMonitor
 from tests.fakes.random_clusters import RandomDeployment
-from tests.fakes.scenario_steps import current_leader
 from tests.fakes.submissions import spec
-from tests.fakes.world import World
+from tests.fakes.world import World, leader_of
 
 
 def test_jobs_that_always_fail_drain_no_machine_and_are_retried_rarely(
@@ -33,7 +32,7 @@
             world.rules.starts[task] for task in world.rules.starts if task.split("/")[0] in bad
         )
         assert tries < 60
-        leader = current_leader(world)
+        leader = leader_of(world)
         notes = (await world.call(leader, "GET", "/overview"))[1]["notes"]
         assert not any("failed tasks of several jobs" in note for note in notes)
         why = (await world.call(leader, "GET", f"/why/{bad[0]}"))[1]
--- a/tests/test_partition_scenarios.py
+++ b/tests/test_partition_scenarios.py
@@ -10,12 +10,11 @@
 from tests.fakes.deployment_settings import LEASE_S
 from tests.fakes.scenario_steps import (
     assert_each_task_started_once,
-    current_leader,
     heal_to_controllers,
     new_leader,
     partition_from_controllers,
 )
-from tests.fakes.world import World
+from tests.fakes.world import World, leader_of
 
 
 def test_running_work_survives_a_state_service_outage_longer_than_a_lease(
@@ -51,7 +50,7 @@
         array = await world.run_job("array", 3, run_s=25.0)
         service = await world.run_job("daemon", 1, crew="blue", rank="production")
         await world.wait_until(lambda: world.running(array) == 3 and world.running(service) == 1)
-        leader = current_leader(world)
+        leader = leader_of(world)
         world.network.cut(f"c{leader}", "state", mode)
         more = world.job("array", 2, run_s=10.0)
         await curio.sleep(1)
@@ -73,7 +72,7 @@
     async def scenario(world: World) -> None:
         service = await world.run_job("daemon", 3, scatter=True, rank="production")
         await world.wait_until(lambda: world.running(service) == 3)
-        leader = current_leader(world)
+        leader = leader_of(world)
         workers = [w for w, _ in world.tasks_on_machines(service)]
         for worker in workers[:2]:
             world.network.cut(worker.name, f"c{leader}")
@@ -100,11 +99,11 @@
         for worker in world.fleet.workers.values():
             partition_from_controllers(world, worker.name)
         gone = set(world.fleet.workers)
-        first = current_leader(world)
+        first = leader_of(world)
         world.crash(first)
         await world.wait_until(lambda: gone <= set(world.cloud.releases), limit=30)
         await curio.sleep(1)
-        second = current_leader(world)
+        second = leader_of(world)
         assert not world.running(service)
         world.crash(second)
         assert await world.wait_until(lambda: world.running(service) == 4, limit=30) < 12
@@ -131,7 +130,7 @@
             partition_from_controllers(world, name)
         # Their leases have expired, their tasks were restarted elsewhere, and no record names them.
         await curio.sleep(LEASE_S + 14)
-        leader = current_leader(world)
+        leader = leader_of(world)
         world.crash(leader)
         await curio.sleep(25)
         for name in unreachable:
@@ -154,7 +153,7 @@
     async def scenario(world: World) -> None:
         service = await world.run_job("daemon", 4, rank="production", accelerators=2.0)
         await world.wait_until(lambda: world.running(service) == 4)
-        first = current_leader(world)
+        first = leader_of(world)
         unreachable = (first + 2) % 3
         for worker in world.fleet.workers.values():
             world.network.cut(worker.name, f"c{unreachable}")
@@ -185,7 +184,7 @@
         service = await world.run_job("daemon", 4, scatter=True, rank="production")
         await world.wait_until(lambda: world.running(service) == 4)
         await curio.sleep(10)
-        leader = current_leader(world)
+        leader = leader_of(world)
         workers = list(world.fleet.workers.values())
         for worker in workers:
             world.network.cut(worker.name, f"c{leader}")
@@ -232,7 +231,7 @@
         for _ in range(2):
             await world.cloud.add("north", spot=False, up_in=0.5)
         await curio.sleep(8)
-        leader = current_leader(world)
+        leader = leader_of(world)
         held = {name: worker._on_heartbeat() for name, worker in world.fleet.workers.items()}
         job = await world.run_job("array", 1, run_s=60.0, accelerators=2.0)
         await world.wait_until(lambda: world.running(job) == 1)
@@ -262,7 +261,7 @@
     async def scenario(world: World) -> None:
         job = await world.run_job("daemon", 2)
         await world.wait_until(lambda: world.running(job) == 2)
-        leader = current_leader(world)
+        leader = leader_of(world)
         for worker, _ in world.tasks_on_machines(job):
             world.network.cut(worker.name, f"c{leader}")
         assert await world.cancel(job, (leader + 1) % 3) == "cancelled"
@@ -311,7 +310,7 @@
             await world.cloud.add("north", spot=False, up_in=0.5)
         job = await world.run_job("array", 3, run_s=12.0, image_gb=0.1, accelerators=2.0)
         await world.wait_until(lambda: world.running(job) == 2)
-        leader = current_leader(world)
+        leader = leader_of(world)
         await curio.sleep(11.2)
         assert not world.rules.finished_tasks
         world.network.cut(f"c{leader}", "state", "hold")
@@ -337,7 +336,7 @@
         service = await world.run_job("daemon", 1, rank="production", image_gb=0.1)
         await world.wait_until(lambda: world.running(service) == 1)
         worker, _ = world.tasks_on_machines(service)[0]
-        leader = current_leader(world)
+        leader = leader_of(world)
         for key, (data, stamp, lease) in world.state.keys.items():
             if key.startswith("machine/"):
                 world.state.keys[key] = ({**data, "session": 0}, stamp, lease)
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -13,8 +13,7 @@
 from micadeal.scheduling.reservations import GangReservations, ReservationInputs
 from micadeal.wire.users import Priority, Shape
 from tests.fakes.random_clusters import RandomDeployment
-from tests.fakes.scenario_steps import current_leader
-from tests.fakes.world import World
+from tests.fakes.world import World, leader_of
 
 #: Within so many seconds; operators check it at the end of each day.
 START_LIMIT_S = 240.0
@@ -69,7 +68,7 @@
         large = await world.run_job("gang", tasks, run_s=30.0, crew="red", **WHOLE_MACHINES)
         if fault == "leader":
             await curio.sleep(80)
-            leader = current_leader(world)
+            leader = leader_of(world)
             world.crash(leader)
             await curio.sleep(5)
             await world.start(leader)
@@ -123,7 +122,7 @@
 async def _sample_usage(world: World) -> dict[str, float]:
     """Return the accelerators that each team uses, half a second from now."""
     await curio.sleep(0.5)
-    leader = current_leader(world)
+    leader = leader_of(world)
     teams = (await world.call(leader, "GET", "/overview"))[1]["teams"]
     return {line["name"]: line["used"] for line in teams if line["resource"] == "gpus"}
 
--- /dev/null
+++ b/tests/test_rollout_decisions.py
@@ -0,0 +1,205 @@
+"""Decisions of rolling updates: presence, levels, damaged leader locks, and the model of them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from bench.model_rollout import GUARDS, broken_without, explore, start
+from micadeal.clock import ZERO, seconds
+from micadeal.controller.feature_level_updater import FeatureLevelUpdater
+from micadeal.controller.feature_levels import FeatureLevels
+from micadeal.controller.messages import FeatureLevelChanged, MigrationStatus
+from micadeal.leadership.term import Term
+from micadeal.rollout import leader_lock as leader_locks
+from micadeal.rollout.feature_level import Build
+from micadeal.rollout.membership import (
+    ELECTION_DELAY,
+    PeerObservation,
+    Presence,
+    Process,
+    election_delay,
+    presence,
+)
+from micadeal.rollout.migration import MIN_PRESENCE, MigrationBacklog, plan
+from micadeal.wire.state import Item, LeaderRecord, LevelRecord
+from tests.fakes.kernel import run_stepped
+
+# -- decisions ---------------------------------------------------------------------------------
+
+OWN_PROCESS = Process("own", Build("b", 0, 2))
+NOW = seconds(1000)
+
+
+def observed(
+    process: Process | None, since: float, heard: float = 0.5, **fields: Any
+) -> PeerObservation:
+    return PeerObservation(process, NOW - seconds(since), NOW - seconds(heard), **fields)
+
+
+def test_presence_is_dated_by_pings_and_distinguishes_partition_from_crash() -> None:
+    one, two = Process("1", Build("b")), Process("2", Build("b"))
+    observation = PeerObservation().with_answer(
+        one, seconds(10), seconds(10.1), seconds(5), ZERO, ["z"]
+    )
+    assert observation.first_asked_at == seconds(10) and observation.started_at == seconds(5.1)
+    # An answer to an earlier ping is ignored.
+    assert observation.with_answer(two, seconds(9), seconds(12)) is observation
+    assert observation.with_answer(one, seconds(12), seconds(12.1)).present_for(
+        seconds(12.5)
+    ) == seconds(2)
+    again = observation.with_answer(two, seconds(13), seconds(13.1))
+    assert again.restarts == 1 and again.present_for(seconds(13.2)) == ZERO
+    observations = {
+        "x": observation,
+        "y": observation.with_answer(one, seconds(19), seconds(19)),
+        "z": PeerObservation(),
+    }
+    found = {name: presence(name, observations, seconds(20)) for name in observations}
+    assert found == {"x": Presence.SILENT, "y": Presence.PRESENT, "z": Presence.UNSEEN}
+    reaching = observations["y"].with_answer(one, seconds(20), seconds(20), reaches=["x"])
+    assert presence("x", {**observations, "y": reaching}, seconds(20)) is Presence.SEEN_BY_OTHERS
+
+
+def test_free_lock_is_left_to_replaced_processes() -> None:
+    old, fresh = NOW - seconds(500), NOW - seconds(30)
+
+    def wait(own_started_at: Any, **fields: Any) -> Any:
+        values = {"started_at": fresh, "state_age": ZERO, **fields}
+        observation = observed(Process("2", fields.pop("build", Build("b", 0, 2))), 20, **values)
+        return election_delay(OWN_PROCESS, own_started_at, [observation], seconds(3), NOW)
+
+    assert wait(old) == ELECTION_DELAY
+    assert wait(fresh) == ZERO
+    assert wait(old, state_age=seconds(9)) == ZERO  # it could not be elected
+    assert election_delay(OWN_PROCESS, old, [PeerObservation()], seconds(3), NOW) == ZERO
+
+
+def test_plan_raises_level_if_all_know_it_and_lowers_in_steps() -> None:
+    peer = Process("p", Build("b", 0, 2))
+    late = MIN_PRESENCE.total_seconds() + 1
+
+    def step(
+        record: LevelRecord,
+        ceiling: int | None = None,
+        migration_backlog: Any = MigrationBacklog(),
+        **by: Any,
+    ) -> Any:
+        observations = {"x": observed(peer, late), "y": observed(peer, late), **by}
+        return plan(record, OWN_PROCESS, observations, ceiling, migration_backlog, NOW)
+
+    assert step(LevelRecord()).move.level == 2
+    assert step(LevelRecord(), 1).move.level == 1
+    mixed = step(LevelRecord(), y=observed(Process("q", Build("a", 0, 1)), late))
+    assert mixed.move.level == 1 and mixed.move.oldest == 0
+    for observation in (
+        observed(peer, 1),
+        observed(peer, late, heard=9),
+        observed(None, late),
+        PeerObservation(),
+    ):
+        assert step(LevelRecord(), y=observation).move is None
+    there = LevelRecord(2, 2, 0)
+    assert step(there, migration_backlog=MigrationBacklog(older=3)).move is None
+    assert step(there).move.oldest == 2
+    # A later build leads: the migration at the level in force does not wait for the others.
+    after = plan(
+        LevelRecord(1, 1, 0), OWN_PROCESS, {"x": PeerObservation()}, None, MigrationBacklog(), NOW
+    )
+    assert after.move == LevelRecord(1, 1, 1) and "never seen" in after.waits[0]
+    lowering = step(LevelRecord(2, 2, 2), 1).move
+    assert (lowering.level, lowering.writes, lowering.oldest) == (2, 1, 1)
+    assert step(lowering, 1, MigrationBacklog(newer=2)).move is None
+    assert "can't be written back" in step(lowering, 1, MigrationBacklog(newer=2, stuck=1)).waits[0]
+    assert step(lowering, 1).move.level == 1
+    # Half way down and up again.
+    assert step(lowering).move.writes == 2
+    new = Process("n", Build("n", 1, 2))
+    assert "writes no level below 1" in step(there, 0, y=observed(new, late)).waits[0]
+
+
+def test_level_change_is_dropped_if_level_changed_since_plan(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards what is stored: a change of our own with unknown outcome may be applied late."""
+    level = LevelRecord(1, 1, 0)
+    feature_levels = FeatureLevels("c0", [], NOW)
+    feature_levels.on_leader_lock_read(
+        leader_locks.LeaderLock(4, LeaderRecord("c0", 1), level=level, versions={"leader": 4})
+    )
+    moved = leader_locks.LeaderLock(
+        9, LeaderRecord("c0", 1, 4), level=LevelRecord(1, 0, 0), versions={"leader": 9}
+    )
+    committed: list[Any] = []
+    told: list[Any] = []
+
+    class State:
+        async def commit(self, *changes: Any) -> int:
+            committed.append(changes)
+            return 10
+
+    async def main() -> None:
+        async def ask(*_: Any) -> MigrationStatus:
+            return MigrationStatus(MigrationBacklog(), None)
+
+        async def tell(message: Any) -> None:
+            told.append(message)
+
+        async def read_moved(_: Any) -> leader_locks.LeaderLock:
+            return moved
+
+        monkeypatch.setattr(
+            "micadeal.controller.feature_level_updater.read_leader_lock", read_moved
+        )
+        state: Any = State()
+        term = Term(4, 1, NOW, NOW, 4)
+        await FeatureLevelUpdater(feature_levels, state, term, ask, tell)._step()
+
+    run_stepped(main, monkeypatch)
+    assert told == [FeatureLevelChanged(moved.level, 9)]
+    assert committed == []
+
+
+def test_leader_lock_names_damaged_records() -> None:
+    process = Process("p1", Build("b", 0, 1))
+    conditions, changes = leader_locks.registration(leader_locks.read([], 0), "c0", process, 5.0)
+    assert conditions[0].version == 0
+    member = Item("seat/member/c0", msgspec.to_builtins(changes[0].value), 3)  # type: ignore[union-attr]
+    leader_lock = leader_locks.read([member], 3)
+    assert leader_locks.registered(leader_lock, "c0", process) and not leader_lock.taken
+    assert leader_locks.refusal(leader_lock, "c0", process) is None
+    assert "another process" in str(
+        leader_locks.refusal(leader_lock, "c0", Process("p2", process.build))
+    )
+    for value in ({"level": 2, "writes": 2, "oldest": 3}, {"level": "x"}, 7, None):
+        damaged = leader_locks.read([member, Item("seat/level", value, 4)], 4)
+        assert damaged.damaged == ("seat/level",)
+        assert "can't be read" in str(leader_locks.refusal(damaged, "c0", process))
+    later = leader_locks.read(
+        [member, Item("seat/level", {"level": 2, "writes": 2, "oldest": 2}, 4)], 4
+    )
+    assert "level 2 is in force" in str(leader_locks.refusal(later, "c0", process))
+    skipped = Process("p1", Build("n", 1, 2))
+    assert "are still stored" in str(skipped.build.refusal(LevelRecord(1, 1, 0)))
+
+
+@pytest.mark.parametrize(
+    "world",
+    [
+        {"ends": 1, "leases": 0, "writes": 1},
+        {"ends": 1, "leases": 0, "writes": 0, "third": 2},
+        {"ends": 0, "leases": 0, "writes": 1, "turns": 1, "third": 2},
+    ],
+    ids=str,
+)
+def test_model_has_no_execution_that_breaks_a_rule(world: dict[str, int]) -> None:
+    states, broken = explore(start(**world))
+    assert broken is None
+    assert states > 30
+
+
+@pytest.mark.parametrize("guard", GUARDS)
+def test_model_without_each_guard_breaks_a_rule(guard: str) -> None:
+    assert broken_without(guard) is not None
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -6,12 +6,8 @@
 import pytest
 
 from micadeal.clock import monotonic
-from tests.fakes.scenario_steps import (
-    assert_each_task_started_once,
-    current_leader,
-    new_leader,
-)
-from tests.fakes.world import World
+from tests.fakes.scenario_steps import assert_each_task_started_once, new_leader
+from tests.fakes.world import World, leader_of
 
 
 def test_an_array_a_gang_and_a_service_run(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -37,7 +33,7 @@
     async def scenario(world: World) -> None:
         jobs = [await world.run_job("array", 3, run_s=30.0) for _ in range(2)]
         await world.wait_until(lambda: sum(map(world.running, jobs)) >= 4)
-        leader = current_leader(world)
+        leader = leader_of(world)
         world.crash(leader)
         late = await world.run_job("array", 1, crew="blue", run_s=5.0)
         await new_leader(world, leader)
@@ -86,7 +82,7 @@
     async def scenario(world: World) -> None:
         jobs = [await world.run_job("array", 6, run_s=20.0) for _ in range(4)]
         await world.wait_until(lambda: sum(map(world.running, jobs)) == 8)
-        leader = current_leader(world)
+        leader = leader_of(world)
         assert await world.cancel(jobs[0], leader) == "cancelled"
         world.crash(leader)
         await curio.sleep(5)
