--- a/bench/fault_histories.py
+++ b/bench/fault_histories.py
@@ -45,7 +45,7 @@
 #: Of so many histories the last one draws its faults; the others take the pairs in turn.
 DRAWN_EVERY = 4
 #: Histories that may be played without a guard until something breaks.
-MAX_HISTORIES_WITHOUT_GUARD = 150
+MAX_HISTORIES_WITHOUT_GUARD = 400
 #: Broken rules that are printed of one history.
 MAX_SHOWN = 4
 
