Why: the leader's controller, not the one asked, makes sure that there is nothing to explain

Cause: the live record was looked for by the follower that was asked, and versions before don't. Change: JobExplainer asks the leader's actor and the state service, for users and peers alike; what can't be answered is one typed error.

--- a/micadeal/controller/api/peers.py
+++ b/micadeal/controller/api/peers.py
@@ -12,11 +12,12 @@
 from micadeal.controller.api.cancellation_broadcast import CancellationBroadcaster
 from micadeal.controller.api.endpoints import Endpoint, dispatch
 from micadeal.controller.api.heartbeats import HeartbeatApi
+from micadeal.controller.api.job_explanations import JobExplainer, UnansweredError
 from micadeal.controller.api.jobs import JobApi
 from micadeal.controller.feature_levels import FeatureLevels
 from micadeal.controller.follower_leases import FollowerLeases
 from micadeal.controller.known_leader import QUERY_TIMEOUT, KnownLeader
-from micadeal.controller.messages import GetExplanation, GetOverview, GetProgress
+from micadeal.controller.messages import GetOverview, GetProgress
 from micadeal.controller.peer_links import PeerLinks
 from micadeal.controller.state_contact import StateContact
 from micadeal.http.message import Answer, HttpError, Request, answer, error
@@ -52,6 +53,7 @@
     follower_leases: FollowerLeases | None
     heartbeats: HeartbeatApi
     jobs: JobApi
+    explainer: JobExplainer
     cancellations: CancellationBroadcaster
     #: Called with the name and token of a peer that says that it leads.
     on_leader_announced: Callable[[str, int], None]
@@ -77,6 +79,7 @@
         self._follower_leases = config.follower_leases
         self._heartbeats = config.heartbeats
         self._jobs = config.jobs
+        self._explainer = config.explainer
         self._cancellations = config.cancellations
         self._on_leader_announced = config.on_leader_announced
         self._endpoints: dict[str, Endpoint] = {
@@ -174,7 +177,10 @@
         if self._leader.actor is None:
             return _not_leading()
         job_id = decode(CancellationNotice, request.body).job_id
-        explanation = await self._leader.actor.ask(GetExplanation(job_id), QUERY_TIMEOUT)
+        try:
+            explanation = await self._explainer.explain(self._leader.actor, job_id)
+        except UnansweredError as problem:
+            return error(503, str(problem))
         # Nil if there is none: all versions decode that, and none decodes an empty body.
         return Answer(200, encode(explanation))
 
--- a/micadeal/controller/controller.py
+++ b/micadeal/controller/controller.py
@@ -12,6 +12,7 @@
 from micadeal.clock import monotonic, seconds, utc_now
 from micadeal.controller.api.cancellation_broadcast import CancellationBroadcaster
 from micadeal.controller.api.heartbeats import HeartbeatApi
+from micadeal.controller.api.job_explanations import JobExplainer
 from micadeal.controller.api.jobs import JobApi
 from micadeal.controller.api.operators import OperatorApi
 from micadeal.controller.api.peers import PeerApi, PeerApiConfig
@@ -147,16 +148,17 @@
             self._feature_levels,
             self._state_contact,
         )
+        explainer = JobExplainer(self._state)
         self._public_api = PublicApi(
             heartbeats,
             self._job_api,
             self._readiness,
-            OperatorApi(self._leader, self._peer_links, self._state),
+            OperatorApi(self._leader, self._peer_links, explainer),
             SettingsApi(self._state),
         )
-        self._peer_api = PeerApi(self._peer_api_config(heartbeats))
+        self._peer_api = PeerApi(self._peer_api_config(heartbeats, explainer))
 
-    def _peer_api_config(self, heartbeats: HeartbeatApi) -> PeerApiConfig:
+    def _peer_api_config(self, heartbeats: HeartbeatApi, explainer: JobExplainer) -> PeerApiConfig:
         return PeerApiConfig(
             leader=self._leader,
             state_contact=self._state_contact,
@@ -165,6 +167,7 @@
             follower_leases=self._follower_leases,
             heartbeats=heartbeats,
             jobs=self._job_api,
+            explainer=explainer,
             cancellations=self._cancellations,
             on_leader_announced=self._on_leader_announced,
         )
