--- a/tests/fakes/kernel.py
+++ b/tests/fakes/kernel.py
@@ -11,13 +11,14 @@
 import secrets
 import selectors
 import time
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import curio
 from curio.sched import SchedBarrier
 
 from micadeal.clock import monotonic
+from micadeal.ordered_set import OrderedSet
 
 
 def now_s() -> float:
@@ -50,38 +51,9 @@
         return []
 
 
-class _ArrivalOrder:
-    """The part of a set's interface that curio's barriers use, in the order of arrival.
-
-    A set of tasks is ordered by their memory addresses, which differ from run to run.
-    """
-
-    def __init__(self) -> None:
-        self._members: dict[Any, None] = {}
-
-    def __len__(self) -> int:
-        return len(self._members)
-
-    def __iter__(self) -> Iterator[Any]:
-        return iter(self._members)
-
-    def add(self, member: Any) -> None:
-        self._members[member] = None
-
-    def remove(self, member: Any) -> None:
-        del self._members[member]
-
-    def pop(self) -> Any:
-        first = next(iter(self._members))
-        del self._members[first]
-        return first
-
-    def clear(self) -> None:
-        self._members.clear()
-
-
 def _begin_barrier(barrier: Any) -> None:
-    barrier._tasks = _ArrivalOrder()
+    """Keep waiting tasks in the order of arrival; in a set it is that of their memory addresses."""
+    barrier._tasks = OrderedSet()
 
 
 def run_stepped(main: Callable[[], Awaitable[None]], monkeypatch: Any) -> None:
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -15,7 +15,6 @@
 from micadeal.operator.policy import Policy, TeamPolicy
 from micadeal.scheduling.cluster_state import ClusterState
 from micadeal.scheduling.pending_reasons import COMES_FREE
-from micadeal.wire.codec import decode
 from micadeal.wire.state import EndRecord
 from micadeal.wire.users import Priority, Shape, Status
 from micadeal.wire.workers import TaskState
@@ -24,6 +23,7 @@
 from tests.fakes.random_clusters import WORKERS, RandomDeployment
 from tests.fakes.submissions import spec
 from tests.fakes.world import World
+from tests.test_lost_responses import writes
 
 SMALL: dict[str, Any] = {"image_gb": 0.1, "accelerators": 0.0, "run_s": 5.0}
 
@@ -143,10 +143,8 @@
         assert await world.cancel_until_confirmed(first) == "cancelled"
 
         async def refuse_ends(request: Request) -> Answer:
-            if request.path == "/txn":
-                changes = decode(dict, request.body)["then"]
-                if any(str(change.get("put", "")).startswith("end/") for change in changes):
-                    return error(400, "too large")
+            if writes(request, "end/"):
+                return error(400, "too large")
             return await world.state.handle(request)
 
         world.network.serve(state_fake.HOST, state_fake.ADDRESS, refuse_ends)
--- a/tests/test_refused_writes.py
+++ b/tests/test_refused_writes.py
@@ -18,7 +18,7 @@
 from tests.test_lost_responses import restart, run_job_stored_in_parts, writes
 
 KINDS = ["job/", "part/", "end/", "placed/", "finished/", "images/", "settings"]
-#: Writes of a kind that are refused in a row, and how often that happens.
+#: Writes of a kind that are refused in a row.
 REFUSED_AT_ONCE = 2
 
 
--- a/tests/test_unexplained_jobs.py
+++ b/tests/test_unexplained_jobs.py
@@ -52,6 +52,18 @@
     return Answer(200) if nothing else reply
 
 
+async def _ask_leader_as_peer(world: World, job_id: str) -> Answer:
+    _, handler = world.network._servers[_peer_address(leader_of(world))]
+    return await handler(Request("POST", "/why", "", encode(CancellationNotice(job_id))))
+
+
+def _delay_watch_of_jobs(world: World) -> None:
+    """Let the leader hear of new jobs four seconds late."""
+    world.network.answer_delay = lambda _source, _address, request: (
+        4.0 if request.path == "/changes" and "starts=job/" in request.query else 0.0
+    )
+
+
 async def _ask_each(world: World, path: str) -> list[int]:
     return [(await world.call(number, "GET", path))[0] for number in ALL]
 
@@ -86,9 +98,7 @@
 
     async def scenario(world: World) -> None:
         await curio.sleep(3)
-        _, handler = world.network._servers[_peer_address(leader_of(world))]
-        question = Request("POST", "/why", "", encode(CancellationNotice("req-999999")))
-        reply = await handler(question)
+        reply = await _ask_leader_as_peer(world, "req-999999")
         assert (reply.status, reply.body) == (200, b"\xc0")
         as_earlier: Any = WhyAnswer | None
         assert decode(as_earlier, reply.body) is None
@@ -124,9 +134,7 @@
 
     async def scenario(world: World) -> None:
         await curio.sleep(3)
-        world.network.answer_delay = lambda _source, _address, request: (
-            4.0 if request.path == "/changes" and "starts=job/" in request.query else 0.0
-        )
+        _delay_watch_of_jobs(world)
         job = await world.run_job(legs=40, run_s=100.0)
         assert await _ask_each(world, f"/why/{job}") == [503] * CONTROLLERS
         world.network.answer_delay = None
@@ -143,15 +151,11 @@
 
     async def scenario(world: World) -> None:
         await curio.sleep(3)
-        world.network.answer_delay = lambda _source, _address, request: (
-            4.0 if request.path == "/changes" and "starts=job/" in request.query else 0.0
-        )
+        _delay_watch_of_jobs(world)
         job = await world.run_job(legs=40, run_s=100.0)
-        _, handler = world.network._servers[_peer_address(leader_of(world))]
-        question = Request("POST", "/why", "", encode(CancellationNotice(job)))
-        assert (await handler(question)).status == 503
+        assert (await _ask_leader_as_peer(world, job)).status == 503
         world.state.outage = True
-        assert (await handler(question)).status == 503
+        assert (await _ask_leader_as_peer(world, job)).status == 503
 
     World().play(monkeypatch, scenario)
 
