--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
+from urllib.parse import quote
 
 import curio
 import pytest
@@ -143,3 +144,38 @@
     done = CliRunner().invoke(main, ["check", str(config), "--options", str(options)])
     assert done.exit_code == (2 if said else 0)
     assert said in done.output
+
+
+@pytest.mark.parametrize("command", ["why", "status", "cancel"])
+@pytest.mark.parametrize("job", ["req-7/../8", "req 7", "req-7?x", "", "reqé"])
+def test_job_id_that_needs_escaping_reaches_the_controller(command: str, job: str) -> None:
+    """Unescaped, it names another path, or no request can be made of it."""
+    asked: list[str] = []
+
+    class Listening(Controller):
+        async def handle(self, request: Request) -> Answer:
+            asked.append(request.path)
+            return error(400, "not a job id")
+
+    refused = run(Listening(), command, job)
+    assert (refused.exit_code, refused.output) == (1, "micadeal: not a job id (status 400)\n")
+    prefix = "/why/" if command == "why" else "/work/"
+    end = "/abort" if command == "cancel" else ""
+    assert asked == [f"{prefix}{quote(job, safe='')}{end}"]
+
+
+@pytest.mark.parametrize(
+    ("status", "text"),
+    [
+        (400, "not a job id"),
+        (404, "not waiting or running: see its status"),
+        (503, "the leader c0 does not answer"),
+    ],
+)
+def test_why_without_an_explanation_prints_what_the_controller_says(status: int, text: str) -> None:
+    class Refusing(Controller):
+        async def handle(self, request: Request) -> Answer:
+            return error(status, text)
+
+    refused = run(Refusing(), "why", "req-000009")
+    assert (refused.exit_code, refused.output) == (1, f"micadeal: {text} (status {status})\n")
--- /dev/null
+++ b/tests/test_unexplained_jobs.py
@@ -0,0 +1,204 @@
+"""What ``GET /why/{id}`` says where there is nothing to explain, and where nobody can tell.
+
+What happened: at a follower, ``why`` of an unknown job was 503, at the leader 404.  The leader
+answered its peer's ``POST /why`` with 200 and an empty body, which the follower could not decode:
+
+    question to the leader failed: controller=c0 path=/why reason=c0: Input data was truncated
+
+A leader that had not read its records, or whose watch was behind, had nothing to explain either:
+users were told 404 of a job that they had submitted.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+import pytest
+
+from micadeal.controller.api.endpoints import RETRY_AFTER
+from micadeal.http.message import Answer, Request
+from micadeal.wire.codec import decode, encode
+from micadeal.wire.peers import CancellationNotice, WhyAnswer
+from tests.fakes.network import Handler
+from tests.fakes.world import CONTROLLERS, World, leader_of
+
+UNKNOWN = "/why/req-999999"
+ALL = range(CONTROLLERS)
+
+
+def _peer_address(number: int) -> str:
+    return f"10.0.0.{number + 1}:8081"
+
+
+def _replace_peer_handler(
+    world: World, number: int, replacement: Callable[[Handler, Request], Awaitable[Answer]]
+) -> None:
+    """Let ``replacement`` answer what the peers of a controller ask it; it gets the handler."""
+    host, handler = world.network._servers[_peer_address(number)]
+
+    async def replaced(request: Request) -> Answer:
+        return await replacement(handler, request)
+
+    world.network.serve(host, _peer_address(number), replaced)
+
+
+async def _answers_with_an_empty_body(handler: Handler, request: Request) -> Answer:
+    """Answer as versions before: nothing to explain was an empty body."""
+    reply = await handler(request)
+    nothing = request.path == "/why" and reply.status == 200 and reply.body == encode(None)
+    return Answer(200) if nothing else reply
+
+
+async def _ask_each(world: World, path: str) -> list[int]:
+    return [(await world.call(number, "GET", path))[0] for number in ALL]
+
+
+@pytest.mark.parametrize("job_id", ["", "req-", "req-1x", "nonsense", "req-1%20", "req-1%2F2"])
+def test_malformed_id_is_400_at_every_controller(
+    monkeypatch: pytest.MonkeyPatch, job_id: str
+) -> None:
+    async def scenario(world: World) -> None:
+        await curio.sleep(3)
+        assert await _ask_each(world, f"/why/{job_id}") == [400] * CONTROLLERS
+
+    World().play(monkeypatch, scenario)
+
+
+def test_job_that_is_over_is_404_at_every_controller(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario(world: World) -> None:
+        done = await world.run_job(legs=1, run_s=1.0)
+        await world.wait_until_done(done)
+        cancelled = await world.run_job(legs=1, run_s=100.0)
+        await world.cancel_until_confirmed(cancelled)
+        for job in (done, cancelled):
+            assert await _ask_each(world, f"/why/{job}") == [404] * CONTROLLERS
+
+    World().play(monkeypatch, scenario)
+
+
+def test_peer_that_knows_no_such_job_answers_nil_which_earlier_versions_decode(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An earlier follower gets its right answer, 404, from a leader of this version."""
+
+    async def scenario(world: World) -> None:
+        await curio.sleep(3)
+        _, handler = world.network._servers[_peer_address(leader_of(world))]
+        question = Request("POST", "/why", "", encode(CancellationNotice("req-999999")))
+        reply = await handler(question)
+        assert (reply.status, reply.body) == (200, b"\xc0")
+        as_earlier: Any = WhyAnswer | None
+        assert decode(as_earlier, reply.body) is None
+
+    World().play(monkeypatch, scenario)
+
+
+def test_empty_body_of_an_earlier_leader_is_503_and_logged(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def scenario(world: World) -> None:
+        await curio.sleep(3)
+        leader = leader_of(world)
+        _replace_peer_handler(world, leader, _answers_with_an_empty_body)
+        job = await world.run_job(legs=40, run_s=100.0)
+        await curio.sleep(1)
+        for number in ALL:
+            expected = 404 if number == leader else 503
+            assert (await world.call(number, "GET", UNKNOWN))[0] == expected
+            assert (await world.call(number, "GET", f"/why/{job}"))[0] == 200
+        assert f"question to the leader failed: controller=c{leader} path=/why reason=" in (
+            caplog.text
+        )
+
+    with caplog.at_level(logging.WARNING):
+        World().play(monkeypatch, scenario)
+
+
+def test_accepted_job_is_never_404_before_the_leader_has_read_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The leader's watch of jobs is late by seconds, and a job is asked about at once."""
+
+    async def scenario(world: World) -> None:
+        await curio.sleep(3)
+        world.network.answer_delay = lambda _source, _address, request: (
+            4.0 if request.path == "/changes" and "starts=job/" in request.query else 0.0
+        )
+        job = await world.run_job(legs=40, run_s=100.0)
+        assert await _ask_each(world, f"/why/{job}") == [503] * CONTROLLERS
+        await curio.sleep(10)
+        assert await _ask_each(world, f"/why/{job}") == [200] * CONTROLLERS
+
+    World().play(monkeypatch, scenario)
+
+
+def test_accepted_job_is_never_404_and_unknown_one_never_200_while_leaders_change(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Asked all the time over a crash, an election, and first reads that take two seconds."""
+    seen: dict[str, set[int]] = {"accepted": set(), "unknown": set()}
+
+    async def scenario(world: World) -> None:
+        job = await world.run_job(legs=40, run_s=300.0)
+        await curio.sleep(3)
+        former, term = leader_of(world), world.term()
+        world.network.answer_delay = lambda _source, _address, request: (
+            1.9 if request.path == "/keys" and "starts=placed/" in request.query else 0.0
+        )
+        world.crash(former)
+        others = [number for number in ALL if number != former]
+        for _ in range(60):
+            for number in others:
+                seen["accepted"].add((await world.call(number, "GET", f"/why/{job}"))[0])
+                seen["unknown"].add((await world.call(number, "GET", UNKNOWN))[0])
+            await curio.sleep(0.1)
+        assert world.term() != term
+        assert await _ask_each(world, f"/why/{job}") != [404] * CONTROLLERS
+
+    World().play(monkeypatch, scenario)
+    assert seen["accepted"] == {200, 503}
+    assert seen["unknown"] == {404, 503}
+
+
+def test_leader_without_state_service_tells_nobody_404_of_a_job_it_has_not_heard_of(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Nobody can tell: the state service refuses all controllers."""
+
+    async def scenario(world: World) -> None:
+        await curio.sleep(3)
+        world.state.outage = True
+        assert await _ask_each(world, UNKNOWN) == [503] * CONTROLLERS
+
+    World().play(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("failure", ["mailbox full", "no answer in time"])
+def test_overloaded_leader_is_503_at_every_controller(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, failure: str
+) -> None:
+    """A follower waits longer than the leader's actor may take, and so hears its reason."""
+
+    async def scenario(world: World) -> None:
+        await curio.sleep(3)
+        leader = leader_of(world)
+        actor = world.nodes[leader]._leader.actor
+        if failure == "mailbox full":
+            monkeypatch.setattr(actor, "_capacity", 0)
+        else:
+
+            async def never(*_: Any) -> None:
+                await curio.sleep(100)
+
+            monkeypatch.setattr(actor, "receive", never)
+        assert await _ask_each(world, UNKNOWN) == [503] * CONTROLLERS
+        _, handler = world.network._servers[f"10.0.0.{leader + 1}:8080"]
+        reply = await handler(Request("GET", UNKNOWN))
+        assert reply.retry_after == RETRY_AFTER
+        assert f"controller=c{leader} path=/why reason=c{leader}: status 503" in caplog.text
+
+    with caplog.at_level(logging.WARNING):
+        World().play(monkeypatch, scenario)
