--- a/micadeal/cli/jobs.py
+++ b/micadeal/cli/jobs.py
@@ -8,6 +8,7 @@
 import tomllib
 from pathlib import Path
 from typing import Any
+from urllib.parse import quote
 
 import click
 
@@ -30,6 +31,11 @@
         click.echo(show_status(answer))
 
 
+def _escaped(job: str) -> str:
+    """Return what the user gave as a job id as one part of a path, whatever characters it has."""
+    return quote(job, safe="")
+
+
 @click.command()
 @click.argument("file", type=click.Path(path_type=Path))
 @controller_option
@@ -49,7 +55,7 @@
 @json_option
 def status(job: str, controller: str, as_json: bool) -> None:
     """Show how far JOB is."""
-    _print_status(request(controller, "GET", f"/work/{job}"), as_json)
+    _print_status(request(controller, "GET", f"/work/{_escaped(job)}"), as_json)
 
 
 @click.command()
@@ -58,7 +64,7 @@
 @json_option
 def cancel(job: str, controller: str, as_json: bool) -> None:
     """Cancel JOB."""
-    _print_status(request(controller, "POST", f"/work/{job}/abort"), as_json)
+    _print_status(request(controller, "POST", f"/work/{_escaped(job)}/abort"), as_json)
 
 
 @click.command()
@@ -67,7 +73,7 @@
 @json_option
 def why(job: str, controller: str, as_json: bool) -> None:
     """Say in plain words why JOB waits."""
-    answer = request(controller, "GET", f"/why/{job}")
+    answer = request(controller, "GET", f"/why/{_escaped(job)}")
     if as_json:
         print_json(answer)
     else:
--- a/micadeal/controller/api/peers.py
+++ b/micadeal/controller/api/peers.py
@@ -20,7 +20,7 @@
 from micadeal.controller.peer_links import PeerLinks
 from micadeal.controller.state_contact import StateContact
 from micadeal.http.message import Answer, HttpError, Request, answer, error
-from micadeal.wire.codec import MessageFormatError, decode
+from micadeal.wire.codec import MessageFormatError, decode, encode
 from micadeal.wire.peers import (
     CancellationNotice,
     Counts,
@@ -174,7 +174,9 @@
         if self._leader.actor is None:
             return _not_leading()
         job_id = decode(CancellationNotice, request.body).job_id
-        return answer(200, await self._leader.actor.ask(GetExplanation(job_id), QUERY_TIMEOUT))
+        explanation = await self._leader.actor.ask(GetExplanation(job_id), QUERY_TIMEOUT)
+        # Nil if there is none: all versions decode that, and none decodes an empty body.
+        return Answer(200, encode(explanation))
 
     async def _overview(self, _request: Request) -> Answer:
         if self._leader.actor is None:
--- a/micadeal/controller/controller.py
+++ b/micadeal/controller/controller.py
@@ -151,7 +151,7 @@
             heartbeats,
             self._job_api,
             self._readiness,
-            OperatorApi(self._leader, self._peer_links),
+            OperatorApi(self._leader, self._peer_links, self._state),
             SettingsApi(self._state),
         )
         self._peer_api = PeerApi(self._peer_api_config(heartbeats))
--- a/micadeal/wire/peers.py
+++ b/micadeal/wire/peers.py
@@ -117,7 +117,9 @@
     The answer is a boolean, and promises that the receiver has put the job on its list of
     cancellations.  False: it leads, and a task of the job may still start.
 
-    Sent to the leader's ``/why``, the same message asks why the job waits.
+    Sent to the leader's ``/why``, the same message asks why the job waits.  The answer is a
+    ``WhyAnswer``, or nil if the leader knows of no such job that waits or runs.  Versions before
+    answer an empty body instead, which tells nothing.
     """
 
     job_id: str
--- a/tests/test_unexplained_jobs.py
+++ b/tests/test_unexplained_jobs.py
@@ -129,6 +129,7 @@
         )
         job = await world.run_job(legs=40, run_s=100.0)
         assert await _ask_each(world, f"/why/{job}") == [503] * CONTROLLERS
+        world.network.answer_delay = None
         await curio.sleep(10)
         assert await _ask_each(world, f"/why/{job}") == [200] * CONTROLLERS
 
