Cancellations: what controllers have waited for outlives their processes

Cause: a cancellation that no leader can call harmless is confirmed once enough controllers have known of it for cancel_s. Each controller counted that alone and lost the count when it ended, though others had it: knowledge lost, in one path only, since the lists of cancellations do go round. Change: controllers say in answers to pings for how long enough of them have known (Pong.cancellation_ages, left out if there are none, so the bytes recorded stay; a case of its own is added to tests/golden). The greatest age counts. Why it holds: the age is of the same instant as before, only remembered by others; one that arrives late is too small, never too great. 500 jobs, and ages up to ten minutes, chosen, not measured.

--- /dev/null
+++ b/micadeal/controller/api/cancellation_ages.py
@@ -0,0 +1,62 @@
+"""Since when enough controllers have known of cancellations that could not be confirmed at once."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from datetime import timedelta
+
+from micadeal.clock import ZERO, seconds
+from micadeal.controller.api.known_answers import RecentJobs
+from micadeal.jobs.validate import JOB_ID
+
+#: Jobs that are remembered, and named in an answer to a ping.
+MAX_JOBS = 500
+#: Long after a cancellation may be confirmed by its age alone, it is of no use any more.
+MAX_AGE = seconds(600)
+MILLISECOND = timedelta(milliseconds=1)
+
+
+class CancellationAges:
+    """Cancelled jobs of which a task could still start, and since when enough controllers know.
+
+    Controllers tell each other: what one of them has waited for counts at the others, and outlives
+    its process.
+    """
+
+    def __init__(self) -> None:
+        self._known_since: RecentJobs[timedelta] = RecentJobs(MAX_JOBS)
+
+    def age(self, job_id: str, now: timedelta) -> timedelta | None:
+        """Return for how long enough controllers have certainly known; None: it is unknown."""
+        known_since = self._known_since.get(job_id)
+        return None if known_since is None else now - known_since
+
+    def note(self, job_id: str, now: timedelta) -> bool:
+        """Note that enough controllers know by now; return whether that was unknown here."""
+        if job_id in self._known_since:
+            return False
+        self._known_since.add(job_id, now)
+        return True
+
+    def to_wire(self, now: timedelta) -> dict[str, float]:
+        """Return the age of each cancellation in milliseconds, for the other controllers."""
+        for job_id, known_since in self._known_since.items():
+            if now - known_since > MAX_AGE:
+                self._known_since.discard(job_id)
+        return {
+            job_id: (now - known_since) / MILLISECOND
+            for job_id, known_since in self._known_since.items()
+        }
+
+    def merge(self, ages_ms: Mapping[str, float], now: timedelta) -> None:
+        """Take over ages that a peer has sent, where they are greater than ours.
+
+        An age is that of the moment in which it was sent: one that the network has delayed says
+        less than is true, never more.
+        """
+        for job_id, age_ms in ages_ms.items():
+            if not JOB_ID.match(job_id) or not 0 <= age_ms <= MAX_AGE / MILLISECOND:
+                continue
+            age = age_ms * MILLISECOND
+            if age > (self.age(job_id, now) or ZERO):
+                self._known_since.add(job_id, now - age)
--- a/micadeal/controller/api/confirmation.py
+++ b/micadeal/controller/api/confirmation.py
@@ -8,7 +8,8 @@
 from typing import NamedTuple
 
 from micadeal.clock import DRIFT, monotonic
-from micadeal.controller.api.known_answers import KnownAnswers, RecentJobs
+from micadeal.controller.api.cancellation_ages import CancellationAges
+from micadeal.controller.api.known_answers import KnownAnswers
 from micadeal.state.service import StateServiceError
 from micadeal.wire.users import JobAnswer
 
@@ -41,6 +42,7 @@
         answers: KnownAnswers,
         broadcast: Callable[[str], Awaitable[CancellationConfirmation]],
         cancel_timeout: timedelta,
+        ages: CancellationAges,
     ) -> None:
         """Confirm by ``broadcast``, which makes a cancellation known to the other controllers.
 
@@ -49,9 +51,7 @@
         self._answers = answers
         self._broadcast = broadcast
         self._cancel_timeout = cancel_timeout
-        #: Cancelled jobs of which a task may still start, and since when enough controllers know of
-        #: the cancellation.
-        self._starts_possible: RecentJobs[timedelta] = RecentJobs()
+        self._ages = ages
 
     async def confirm(self, answer: JobAnswer, cannot_start: bool = False) -> JobAnswer:
         """Make the cancellation known, and return the answer if a user may be given it.
@@ -70,17 +70,15 @@
             raise _unconfirmed(job_id, "too few controllers know of it")
         if not (cannot_start or confirmation.no_task_can_start):
             self._check_tasks_are_gone(job_id)
-        self._starts_possible.discard(job_id)
         log.debug("cancellation confirmed: job=%s", job_id)
         return self._answers.remember_final(answer)
 
     def _check_tasks_are_gone(self, job_id: str) -> None:
         now = monotonic()
-        known_since = self._starts_possible.get(job_id)
-        if known_since is None:
-            self._answers.last_cancel = known_since = now
-            self._starts_possible.add(job_id, now)
-        if now - known_since <= self._cancel_timeout * (1 + 2 * DRIFT):
+        if self._ages.note(job_id, now):
+            self._answers.last_cancel = now
+        age = self._ages.age(job_id, now)
+        if age is None or age <= self._cancel_timeout * (1 + 2 * DRIFT):
             raise _unconfirmed(job_id, "a task may still start")
 
 
--- a/micadeal/controller/api/jobs.py
+++ b/micadeal/controller/api/jobs.py
@@ -8,10 +8,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from datetime import timedelta
 
+from micadeal.clock import monotonic
 from micadeal.controller.api.cancellation import JobCancellation
+from micadeal.controller.api.cancellation_ages import CancellationAges
 from micadeal.controller.api.confirmation import CancellationConfirmation, CancellationConfirmer
 from micadeal.controller.api.dependencies import DependencyReader
 from micadeal.controller.api.job_reader import JobReader
@@ -41,7 +43,10 @@
         a cancellation was confirmed no task of the job is left.
         """
         self._answers = KnownAnswers()
-        confirmer = CancellationConfirmer(self._answers, broadcast, cancel_timeout)
+        self._cancellation_ages = CancellationAges()
+        confirmer = CancellationConfirmer(
+            self._answers, broadcast, cancel_timeout, self._cancellation_ages
+        )
         reader = JobReader(state, self._answers, confirmer)
         self._dependencies = DependencyReader(reader, self._answers, cancel_timeout)
         self._status = JobStatus(state, self._answers, reader, self._dependencies)
@@ -96,6 +101,14 @@
         """Note that a job's end is recorded, as another controller or the leader reports."""
         self._answers.note_ended(job_id)
 
+    def cancellation_ages(self) -> dict[str, float]:
+        """Return for how many milliseconds enough controllers have known of cancellations."""
+        return self._cancellation_ages.to_wire(monotonic())
+
+    def merge_cancellation_ages(self, ages_ms: Mapping[str, float]) -> None:
+        """Take over what a peer says on how long enough controllers have known."""
+        self._cancellation_ages.merge(ages_ms, monotonic())
+
     @property
     def last_cancel(self) -> timedelta:
         """When a user was last answered "cancelled" here, or when this process was started."""
--- a/micadeal/controller/api/known_answers.py
+++ b/micadeal/controller/api/known_answers.py
@@ -41,6 +41,10 @@
         if len(self._values) > self._capacity:
             self._values.popitem(last=False)
 
+    def items(self) -> list[tuple[str, T]]:
+        """Return all jobs and their values, the one that was added first first."""
+        return list(self._values.items())
+
     def discard(self, job_id: str) -> None:
         """Forget a job if it is remembered."""
         self._values.pop(job_id, None)
--- a/micadeal/controller/api/peers.py
+++ b/micadeal/controller/api/peers.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from msgspec import UNSET
+
 from micadeal.actor import MailboxFullError
 from micadeal.clock import monotonic, seconds
 from micadeal.controller.api.cancellation_broadcast import CancellationBroadcaster
@@ -126,6 +128,7 @@
                 renewal_promise=promise,
                 process=self._feature_levels.own_process(monotonic()),
                 all_started=progress.all_started,
+                cancellation_ages=self._jobs.cancellation_ages() or UNSET,
             ),
         )
 
--- a/micadeal/controller/controller.py
+++ b/micadeal/controller/controller.py
@@ -318,6 +318,7 @@
         """Take in a peer's answer to a ping, with ``cancelled`` jobs that are new to us."""
         for job_id in cancelled:
             self._job_api.over(job_id)
+        self._job_api.merge_cancellation_ages(pong.cancellation_ages or {})
         # The term may end during the awaits below.
         actor = self._leader.actor
         if actor is not None:
--- a/micadeal/wire/peers.py
+++ b/micadeal/wire/peers.py
@@ -106,6 +106,10 @@
     process: Process | None = None
     #: From a leader: jobs of which each task that is not done runs.
     all_started: list[str] = []
+    #: Cancelled jobs that could not be confirmed at once, and for how many milliseconds enough
+    #: controllers have certainly known of each.  Unset: there are none, or the sender is of a
+    #: version that does not say.
+    cancellation_ages: dict[str, float] | msgspec.UnsetType = msgspec.UNSET
 
 
 # -- cancellations, and heartbeats passed on ---------------------------------------------------
--- a/tests/test_wire_compatibility.py
+++ b/tests/test_wire_compatibility.py
@@ -161,6 +161,8 @@
     "workers_direct_orders": DirectCommands,
     "workers_redirect": Redirect,
 }
+#: Fields that came after the cases were recorded; they have cases in ``wire_additions.json``.
+FIELDS_ADDED_LATER = {"mesh_pong": ["Pong.cancellation_ages"]}
 #: Messages that are JSON on the wire; all others are MessagePack.
 JSON_MESSAGES = {"signals_point", "signals_series"}
 #: Sent and never read by this program: the values whose encodings were recorded.
@@ -300,7 +302,22 @@
 
 @pytest.mark.parametrize("name", READ)
 def test_the_full_case_sets_every_field_to_something_else_than_its_default(name: str) -> None:
-    assert same_as_defaults(read(name, recorded(name, "full"))) == []
+    unset = same_as_defaults(read(name, recorded(name, "full")))
+    assert unset == FIELDS_ADDED_LATER.get(name, [])
+
+
+@pytest.mark.parametrize("name", sorted(FIELDS_ADDED_LATER))
+def test_fields_added_later_are_read_and_written_to_the_same_bytes(name: str) -> None:
+    """The recorded full case and these fields; without them the bytes stay as they were."""
+    added = json.loads((GOLDEN / "wire_additions.json").read_text())[name]
+    data = bytes.fromhex(added["hex"])
+    value = read(name, data)
+    assert same_as_defaults(value) == []
+    assert write(name, value) == data
+    full = read_untyped(name, recorded(name, "full"))
+    assert read_untyped(name, data) == added["decoded"] == {**full, **added["fields"]}
+    names = [f"{MESSAGES[name].__name__}.{field}" for field in added["fields"]]
+    assert names == FIELDS_ADDED_LATER[name]
 
 
 @pytest.mark.parametrize("name", READ)
