Dependent jobs: a question compares the ancestors read before and reads only the rest

Callers saw 503, or no answer within their 2 s, to every question about a job behind a long chain, at a controller that does not hear the leader while the state service is slow; independent jobs were answered there. Cause: a check in one path only. Without the leader's word that cancellations have reached all dependent jobs, the records of all ancestors were read for each question, one level after the other, and nothing was kept; beyond 400 of them no question ever succeeded. Independent jobs compare the version that was read before. Change: JobReader keeps the version and the prerequisites of records read alive; the known ancestors are compared by one request of many conditions, and only what is new or has changed is read. The bound of 400 is one of reads for an answer: what a question that failed has read, the next does not read again. Why it holds: a live record is never rewritten, so an equal version means neither done nor cancelled; the comparison begins after the question, as the reads did.

--- a/micadeal/controller/api/dependencies.py
+++ b/micadeal/controller/api/dependencies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from datetime import timedelta
 
 from micadeal.clock import monotonic
@@ -14,8 +15,9 @@
 #: Of longer lists of prerequisites, those found once are not looked up again: a repetition after
 #: a 503 then gets further.
 MAX_UNCACHED_PREREQUISITES = 16
-#: Ancestors (jobs that a job depends on, directly or not) that are read for one answer at most.
-MAX_ANCESTORS = 400
+#: Records of ancestors (jobs that a job depends on, directly or not) that are read for one answer
+#: at most.  Those that were read alive before are only compared, so a repetition gets further.
+MAX_ANCESTOR_READS = 400
 
 
 class DependencyReader:
@@ -65,21 +67,36 @@
         """Return whether one of the jobs, or one of their ancestors, is cancelled.
 
         Guards ``orphaned``: without a fresh report of the leader (no leader for long, an outage)
-        the records of all ancestors are read.
+        the records of all ancestors are read, or compared with what was read before.  Guards
+        ``forgotten``: a question that fails leaves less to read for the next one.
         """
         if self.cancellations_propagated(asked):
             return False
-        seen = dict(jobs)
+        seen = set(jobs)
         latest = jobs
-        while latest:
-            if _any_cancelled(latest):
-                return True
-            names = sorted(_prerequisites(latest) - seen.keys())
-            if len(seen) + len(names) > MAX_ANCESTORS:
+        reads_left = MAX_ANCESTOR_READS
+        while not _any_cancelled(latest):
+            names = self._known_ancestors(_prerequisites(latest), seen)
+            if not names:
+                return False
+            seen |= names
+            unread = sorted(names - await self._reader.still_live(names))
+            latest = await self._reader.read_jobs(unread[:reads_left], skip_unreadable=True)
+            if len(unread) > reads_left:
                 raise StateServiceError("too many jobs further up")
-            latest = await self._reader.read_jobs(names, skip_unreadable=True)
-            seen |= latest
-        return False
+            reads_left -= len(unread)
+        return True
+
+    def _known_ancestors(self, names: Iterable[str], seen: set[str]) -> set[str]:
+        """Return the names and all ancestors of theirs that were read before, without ``seen``."""
+        found: set[str] = set()
+        to_visit = list(names)
+        while to_visit:
+            name = to_visit.pop()
+            if name not in found and name not in seen:
+                found.add(name)
+                to_visit += self._reader.prerequisites(name)
+        return found
 
 
 def _any_cancelled(jobs: RecordedJobs) -> bool:
--- a/micadeal/controller/api/job_reader.py
+++ b/micadeal/controller/api/job_reader.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import curio
 
 from micadeal.controller.api.confirmation import CancellationConfirmer
 from micadeal.controller.api.end_records import UnreadableRecordError, decode_end
-from micadeal.controller.api.known_answers import KnownAnswers
+from micadeal.controller.api.known_answers import KnownAnswers, RecentJobs
 from micadeal.schema.job_records import read_job_record
 from micadeal.schema.keys import ENDS, JOBS
+from micadeal.state.read_coalescing import VersionCheckCoalescer
 from micadeal.state.service import StateService, StateServiceError, Urgency
 from micadeal.wire.codec import MessageFormatError
 from micadeal.wire.state import Item
@@ -35,6 +37,14 @@
         return self.final_status is Status.CANCELLED
 
 
+@dataclass(frozen=True, slots=True)
+class _LiveRecord:
+    """The record of a job that was neither done nor cancelled; it is never rewritten."""
+
+    version: int
+    job: RecordedJob
+
+
 #: Recorded jobs by id; None: never accepted.
 RecordedJobs = dict[str, RecordedJob | None]
 
@@ -48,6 +58,27 @@
         self._state = state
         self._answers = answers
         self._confirmer = confirmer
+        self._version_checks = VersionCheckCoalescer(state)
+        self._live_records: RecentJobs[_LiveRecord] = RecentJobs()
+
+    def prerequisites(self, job_id: str) -> tuple[str, ...]:
+        """Return the prerequisites of a job that was read alive before; none if it was not."""
+        record = self._live_records.get(job_id)
+        return () if record is None else record.job.prerequisites
+
+    async def still_live(self, names: Iterable[str]) -> set[str]:
+        """Return those of the jobs read alive before that still are, by reads that begin now.
+
+        One request compares the versions of many records.
+        """
+        records = {name: self._live_records.get(name) for name in names}
+        versions = {
+            JOBS + name: record.version for name, record in records.items() if record is not None
+        }
+        unchanged = await self._version_checks.unchanged(versions)
+        for key in versions.keys() - unchanged:
+            self._live_records.discard(key.removeprefix(JOBS))
+        return {key.removeprefix(JOBS) for key in unchanged}
 
     async def read_job(self, job_id: str) -> RecordedJob | None:
         """Read what is recorded of a job; None: it was never accepted.
@@ -98,7 +129,9 @@
             spec = (await read_job_record(self._state, item, Urgency.USER)).submission
         except MessageFormatError as problem:
             raise UnreadableRecordError(item.key, problem) from None
-        return RecordedJob(None, spec.shape is Shape.SERVICE, tuple(spec.prerequisites or ()))
+        job = RecordedJob(None, spec.shape is Shape.SERVICE, tuple(spec.prerequisites or ()))
+        self._live_records.add(spec.job_id, _LiveRecord(item.version, job))
+        return job
 
     async def read_end(self, job_id: str, cannot_start: bool = False) -> JobAnswer | None:
         """Read the end of a job, and confirm it if it is a cancellation; None: there is none.
--- a/micadeal/state/read_coalescing.py
+++ b/micadeal/state/read_coalescing.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from datetime import timedelta
 
 import curio
@@ -49,15 +50,20 @@
         False may also mean that the service did not compare it: read the key then.  Raises
         ``StateServiceError`` if the service gave no usable answer.
         """
-        check = _VersionCheck(key, version)
-        self._waiting.append(check)
-        if not self._batch_scheduled:
+        return key in await self.unchanged({key: version})
+
+    async def unchanged(self, versions: Mapping[str, int]) -> set[str]:
+        """Return those of the keys that still have the version given, as ``holds`` does for one."""
+        checks = [_VersionCheck(key, version) for key, version in versions.items()]
+        self._waiting += checks
+        if checks and not self._batch_scheduled:
             self._batch_scheduled = True
             await curio.spawn(self._send_batches, daemon=True)
-        await check.answered.wait()
-        if check.error is not None:
-            raise check.error
-        return check.unchanged
+        for check in checks:
+            await check.answered.wait()
+            if check.error is not None:
+                raise check.error
+        return {check.key for check in checks if check.unchanged}
 
     async def _send_batches(self) -> None:
         await sleep(BATCH_INTERVAL)
