Answers: 404, 400 and 422 need a proof; refusals are logged and counted; invariants at run time

Cause: nothing told afterwards why a user was refused, for how long a job had been unanswered, or by which token. Change: NeverAccepted is the proof that a job is unknown, given by JobStatus.look_up alone; a job accepted here of which both reads find nothing is answered 503, no longer 404. 'leader changed' has the token, 'records loaded' the age of what was read. micadeal/invariants.py reports violations found at run time; the answer or the start in question is withheld, and a test in which one occurs fails.

--- a/micadeal/controller/api/cancellation.py
+++ b/micadeal/controller/api/cancellation.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import logging
-
 from micadeal.controller.api.confirmation import CancellationConfirmer
 from micadeal.controller.api.end_records import write_cancellation
+from micadeal.controller.api.job_reader import NeverAccepted
 from micadeal.controller.api.known_answers import FINAL_STATUSES, KnownAnswers
-from micadeal.controller.api.responses import no_such_job, not_recorded_yet
+from micadeal.controller.api.responses import no_such_job, not_a_job_id, not_recorded_yet
 from micadeal.controller.api.status import JobStatus
 from micadeal.http.message import Answer, answer
 from micadeal.jobs.validate import JOB_ID
@@ -15,8 +14,6 @@
 from micadeal.state.service import ConflictError, StateService, StateServiceError
 from micadeal.wire.users import JobAnswer, Status
 
-log = logging.getLogger(__name__)
-
 #: How often a cancellation is tried while the job's record changes.
 MAX_ATTEMPTS = 3
 
@@ -39,15 +36,16 @@
     async def cancel(self, job_id: str) -> Answer:
         """Answer a request to cancel a job; a job that has ended is answered with its end."""
         if not JOB_ID.match(job_id):
-            return no_such_job()
+            return not_a_job_id()
+        reason = "the job's record changed meanwhile"
         try:
             for _ in range(MAX_ATTEMPTS):
                 final = await self._try_to_cancel(job_id)
                 if final is not None:
                     return final
         except StateServiceError as problem:
-            log.debug("cancellation not recorded: job=%s reason=%s", job_id, problem)
-        return not_recorded_yet()
+            reason = str(problem)
+        return not_recorded_yet(reason)
 
     async def _try_to_cancel(self, job_id: str) -> Answer | None:
         """Try once; None: the job's record has changed meanwhile."""
@@ -56,8 +54,8 @@
         item = await self._state.get(JOBS + job_id)
         if item is None:
             found = await self._status.look_up(job_id)
-            if found is None:
-                return no_such_job()
+            if isinstance(found, NeverAccepted):
+                return no_such_job(found)
             return answer(200, found) if found.status in FINAL_STATUSES else None
         try:
             await write_cancellation(self._state, job_id, item)
--- a/micadeal/controller/api/job_reader.py
+++ b/micadeal/controller/api/job_reader.py
@@ -37,6 +37,18 @@
         return self.final_status is Status.CANCELLED
 
 
+@dataclass(frozen=True, slots=True)
+class NeverAccepted:
+    """Proof that a job was not accepted when a question about it came.
+
+    Only ``JobStatus.look_up`` gives it: the job's record and then its end were read, both reads
+    began after the question came, and there was neither.  Nothing else allows to answer 404, or to
+    refuse a submission with 400 or 422 whose job may be known.
+    """
+
+    job_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class _LiveRecord:
     """The record of a job that was neither done nor cancelled; it is never rewritten."""
--- a/micadeal/controller/api/operators.py
+++ b/micadeal/controller/api/operators.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from micadeal.actor import MailboxFullError
-from micadeal.clock import seconds
+from micadeal.clock import monotonic, seconds
+from micadeal.controller.api.answer_log import AnswerLog
 from micadeal.controller.api.endpoints import RETRY_AFTER
 from micadeal.controller.api.job_explanations import JobExplainer, UnansweredError
 from micadeal.controller.known_leader import QUERY_TIMEOUT, KnownLeader
@@ -28,10 +29,17 @@
 class OperatorApi:
     """Serves ``GET /why/{id}`` and ``GET /overview``."""
 
-    def __init__(self, leader: KnownLeader, peer_links: PeerLinks, explainer: JobExplainer) -> None:
+    def __init__(
+        self,
+        leader: KnownLeader,
+        peer_links: PeerLinks,
+        explainer: JobExplainer,
+        answer_log: AnswerLog,
+    ) -> None:
         self._leader = leader
         self._peer_links = peer_links
         self._explainer = explainer
+        self._answer_log = answer_log
 
     async def explain(self, request: Request) -> Answer:
         """Answer why a job waits, or what it is doing."""
@@ -52,13 +60,14 @@
         return answer(200, explanation)
 
     async def overview(self, _request: Request) -> Answer:
-        """Answer with the overview of the cluster."""
+        """Answer with the leader's overview of the cluster, and what this controller refused."""
         try:
-            overview = await self._ask_leader(
+            overview: Overview = await self._ask_leader(
                 lambda leader: leader.ask(GetOverview(), QUERY_TIMEOUT), "/overview", None, Overview
             )
         except UnansweredError as problem:
             return error(503, str(problem), RETRY_AFTER)
+        overview.notes = [*overview.notes, *self._answer_log.notes(monotonic())]
         return answer(200, overview)
 
     async def _ask_leader(
--- a/micadeal/controller/api/public.py
+++ b/micadeal/controller/api/public.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
+
+from micadeal.controller.api.answer_log import AnswerLog, UserRequest
 from micadeal.controller.api.endpoints import Endpoint, dispatch
 from micadeal.controller.api.heartbeats import HeartbeatApi
 from micadeal.controller.api.jobs import JobApi
@@ -9,6 +12,7 @@
 from micadeal.controller.api.readiness import Readiness
 from micadeal.controller.api.settings import SettingsApi
 from micadeal.http.message import Answer, Request
+from micadeal.jobs.validate import job_id_of
 
 
 class PublicApi:
@@ -21,9 +25,11 @@
         readiness: Readiness,
         operators: OperatorApi,
         settings: SettingsApi,
+        answer_log: AnswerLog,
     ) -> None:
         self._jobs = jobs
         self._readiness = readiness
+        self._answer_log = answer_log
         self._endpoints: dict[str, Endpoint] = {
             "/checkin": {"POST": heartbeats.receive},
             "/work": {"POST": self._submit},
@@ -52,13 +58,23 @@
         return None
 
     async def _submit(self, request: Request) -> Answer:
-        return self._readiness.refusal() or await self._jobs.submit(request.body)
+        reply = self._readiness.refusal() or await self._jobs.submit(request.body)
+        refused = reply.status >= HTTPStatus.BAD_REQUEST
+        job_id = job_id_of(request.body) if refused else None
+        self._answer_log.record(UserRequest.SUBMISSION, job_id, reply)
+        return reply
 
     async def _status(self, request: Request) -> Answer:
-        return self._readiness.refusal() or await self._jobs.status(_job_id(request))
+        job_id = _job_id(request)
+        reply = self._readiness.refusal() or await self._jobs.status(job_id)
+        self._answer_log.record(UserRequest.STATUS, job_id, reply)
+        return reply
 
     async def _cancel(self, request: Request) -> Answer:
-        return self._readiness.refusal() or await self._jobs.cancel(_job_id(request))
+        job_id = _job_id(request)
+        reply = self._readiness.refusal() or await self._jobs.cancel(job_id)
+        self._answer_log.record(UserRequest.CANCELLATION, job_id, reply)
+        return reply
 
 
 def _job_id(request: Request) -> str:
--- a/micadeal/controller/api/status.py
+++ b/micadeal/controller/api/status.py
@@ -8,10 +8,15 @@
 from micadeal.clock import monotonic
 from micadeal.controller.api.dependencies import DependencyReader
 from micadeal.controller.api.end_records import UnreadableRecordError, write_cancellation
-from micadeal.controller.api.job_reader import JobReader
+from micadeal.controller.api.job_reader import JobReader, NeverAccepted
 from micadeal.controller.api.known_answers import KnownAnswers, RecentJobs
-from micadeal.controller.api.responses import no_such_job, state_service_unreachable
+from micadeal.controller.api.responses import (
+    no_such_job,
+    not_a_job_id,
+    state_service_unreachable,
+)
 from micadeal.http.message import Answer, answer
+from micadeal.invariants import Invariant, report_violation
 from micadeal.jobs.validate import JOB_ID
 from micadeal.schema.job_records import has_dependencies
 from micadeal.schema.keys import JOBS
@@ -23,6 +28,14 @@
 log = logging.getLogger(__name__)
 
 
+class AcceptedJobMissingError(StateServiceError):
+    """The state service holds nothing of a job that was accepted here."""
+
+    def __init__(self, job_id: str) -> None:
+        super().__init__(f"accepted, and neither record nor end is there: job={job_id}")
+        self.job_id = job_id
+
+
 class JobStatus:
     """Answers what has become of a job."""
 
@@ -45,21 +58,31 @@
     async def status(self, job_id: str) -> Answer:
         """Answer a request for the status of a job."""
         if not JOB_ID.match(job_id):
-            return no_such_job()
+            return not_a_job_id()
         try:
             found = await self.look_up(job_id)
-        except StateServiceError:
-            return state_service_unreachable()
-        return no_such_job() if found is None else answer(200, found)
+        except StateServiceError as problem:
+            return state_service_unreachable(problem)
+        return no_such_job(found) if isinstance(found, NeverAccepted) else answer(200, found)
+
+    async def look_up(self, job_id: str) -> JobAnswer | NeverAccepted:
+        """Return the state of a job by reads that begin now.
 
-    async def look_up(self, job_id: str) -> JobAnswer | None:
-        """Return the state of a job by reads that begin now; None: it was never accepted.
+        Raises ``StateServiceError`` if it can't be told.
 
         Guards ``went_back``: if something newer became known here during the reads, a user may have
         been answered that already, so the job is read once more.
         """
         found = await self._read(job_id)
-        return await self._read(job_id) if self._answers.is_outdated(job_id, found) else found
+        if self._answers.is_outdated(job_id, found):
+            found = await self._read(job_id)
+        if found is not None:
+            return found
+        if job_id in self._answers.accepted:
+            # Guards ``forgotten``: whatever the reads say, a user was told that it is accepted.
+            report_violation(Invariant.FORGOTTEN, job_id, "accepted, and neither record nor end")
+            raise AcceptedJobMissingError(job_id)
+        return NeverAccepted(job_id)
 
     async def _read(self, job_id: str) -> JobAnswer | None:
         """Read the job's record before its end: it only ever turns from one into the other."""
--- a/micadeal/controller/api/submission.py
+++ b/micadeal/controller/api/submission.py
@@ -7,6 +7,7 @@
 from micadeal.clock import utc_now
 from micadeal.controller.api.dependencies import DependencyReader
 from micadeal.controller.api.end_records import USER_WRITE_TIMEOUT
+from micadeal.controller.api.job_reader import NeverAccepted
 from micadeal.controller.api.known_answers import KnownAnswers
 from micadeal.controller.api.responses import (
     RETRY_AFTER,
@@ -96,9 +97,9 @@
             return otherwise
         try:
             found = await self._status.look_up(job_id)
-        except StateServiceError:
-            return state_service_unreachable()
-        return otherwise if found is None else answer(200, found)
+        except StateServiceError as problem:
+            return state_service_unreachable(problem)
+        return otherwise if isinstance(found, NeverAccepted) else answer(200, found)
 
     async def _has_cancelled_prerequisite(self, spec: Submission) -> bool:
         if not spec.prerequisites:
@@ -118,12 +119,11 @@
         except JobTooLargeError:
             too_large = error(400, "the job's description is too large for the state service")
             return await self._known_or(job_id, too_large)
-        except UnavailableError:
-            return state_service_unreachable()
+        except UnavailableError as problem:
+            return state_service_unreachable(problem)
         except (ConflictError, StateServiceError) as problem:
             # Known already, or perhaps just accepted by a transaction whose answer was lost.
-            log.debug("submission not recorded: job=%s reason=%s", job_id, problem)
-            return await self._answer_recorded(job_id)
+            return await self._answer_recorded(job_id, str(problem))
         return await self._answer_accepted(job_id, cancelled)
 
     async def _answer_accepted(self, job_id: str, cancelled: bool) -> Answer:
@@ -134,16 +134,21 @@
             return answer(201, final)
         accepted = JobAnswer(job_id, Status.PENDING)
         if self._answers.is_outdated(job_id, accepted):
-            return await self._answer_recorded(job_id)
+            return await self._answer_recorded(job_id, "something newer is known")
         return answer(201, accepted)
 
-    async def _answer_recorded(self, job_id: str) -> Answer:
-        """Answer with what is recorded of the job by now, also if another controller wrote it."""
+    async def _answer_recorded(self, job_id: str, reason: str) -> Answer:
+        """Answer with what is recorded of the job by now, also if another controller wrote it.
+
+        ``reason`` says for the log why that has to be read.
+        """
         try:
             found = await self._status.look_up(job_id)
-        except StateServiceError:
-            found = None
-        return not_recorded_yet() if found is None else answer(200, found)
+        except StateServiceError as problem:
+            return not_recorded_yet(f"{reason}; then {problem}")
+        if isinstance(found, NeverAccepted):
+            return not_recorded_yet(f"{reason}; not there yet")
+        return answer(200, found)
 
     async def _record(self, spec: Submission, cancelled: bool) -> None:
         """Write the job's record, or its end if it is cancelled.
--- a/micadeal/controller/controller.py
+++ b/micadeal/controller/controller.py
@@ -10,6 +10,7 @@
 
 from micadeal.actor import MailboxFullError, keep_running
 from micadeal.clock import monotonic, seconds, utc_now
+from micadeal.controller.api.answer_log import AnswerLog
 from micadeal.controller.api.cancellation_broadcast import CancellationBroadcaster
 from micadeal.controller.api.heartbeats import HeartbeatApi
 from micadeal.controller.api.job_explanations import JobExplainer
@@ -149,12 +150,14 @@
             self._state_contact,
         )
         explainer = JobExplainer(self._state)
+        answer_log = AnswerLog(platform.name)
         self._public_api = PublicApi(
             heartbeats,
             self._job_api,
             self._readiness,
-            OperatorApi(self._leader, self._peer_links, explainer),
+            OperatorApi(self._leader, self._peer_links, explainer, answer_log),
             SettingsApi(self._state),
+            answer_log,
         )
         self._peer_api = PeerApi(self._peer_api_config(heartbeats, explainer))
 
@@ -251,11 +254,10 @@
                 await self._end_term()
             case LeaderObserved(controller, token):
                 if token >= self._leader.token:
-                    self._set_leader(controller)
-                    self._leader.token = token
+                    self._set_leader(controller, token)
 
     async def _begin_term(self, term: Term) -> None:
-        self._set_leader(self._platform.name)
+        self._set_leader(self._platform.name, max(term.token, self._leader.token))
         config = LeaderConfig(
             platform=self._platform,
             state=self._state,
@@ -281,7 +283,7 @@
         self._leader.actor = None
         self._cancellations.forget_undelivered()
         self._peer_links.leading_token = 0
-        self._set_leader(None)
+        self._set_leader(None, self._leader.token)
         if self._term_task is not None:
             await self._term_task.cancel(blocking=False)
 
@@ -303,13 +305,15 @@
             if token > actor.token:
                 self._election.resign(f"{name} leads the later term {token}")
             return
-        self._leader.token = token
-        self._set_leader(name)
+        self._set_leader(name, token)
 
-    def _set_leader(self, name: str | None) -> None:
+    def _set_leader(self, name: str | None, token: int) -> None:
         if name != self._leader.name:
-            log.info("leader changed: controller=%s previous=%s", name, self._leader.name)
+            log.info(
+                "leader changed: controller=%s previous=%s token=%d", name, self._leader.name, token
+            )
         self._leader.name = name
+        self._leader.token = token
         self._peer_links.leader = name
 
     # -- answers of the peers --------------------------------------------------------------
--- a/micadeal/controller/record_loader.py
+++ b/micadeal/controller/record_loader.py
@@ -76,10 +76,11 @@
         self.apply_settings(loaded.settings)
         self._command_all_machines()
         log.info(
-            "records loaded: token=%d jobs=%d machines=%d",
+            "records loaded: token=%d jobs=%d machines=%d age_s=%.1f",
             self._cluster.token,
             len(self._cluster.jobs),
             len(self._cluster.machines),
+            (now - loaded.requested_at).total_seconds(),
         )
 
     def _command_all_machines(self) -> None:
--- a/micadeal/http/message.py
+++ b/micadeal/http/message.py
@@ -28,11 +28,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """What a server's handler responds; ``retry_after`` becomes the header of that name."""
+    """What a server's handler responds; ``retry_after`` becomes the header of that name.
+
+    ``reason`` says for the log why a request was refused; it is not sent.
+    """
 
     status: int
     body: bytes = b""
     retry_after: timedelta | None = None
+    reason: str = ""
 
 
 class ClientResponse(NamedTuple):
@@ -48,6 +52,8 @@
     return Answer(status, body, retry_after)
 
 
-def error(status: int, text: str, retry_after: timedelta | None = None) -> Answer:
-    """Return an answer with ``{"error": text}`` as its body."""
-    return answer(status, {"error": text}, retry_after)
+def error(
+    status: int, text: str, retry_after: timedelta | None = None, reason: str | None = None
+) -> Answer:
+    """Return an answer with ``{"error": text}`` as its body; ``reason``: more, for the log."""
+    return Answer(status, encode({"error": text}), retry_after, text if reason is None else reason)
--- a/micadeal/scheduling/worker_commands.py
+++ b/micadeal/scheduling/worker_commands.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from micadeal.fleet.machines import HeartbeatId, Machine
+from micadeal.invariants import Invariant, report_violation
 from micadeal.scheduling.cluster_state import ClusterState
 from micadeal.wire.workers import Command, CommandKind
 
@@ -57,6 +58,10 @@
         if attempt.state is not None or attempt.stop is not None:
             continue
         if attempt.durable and cluster.is_ours(attempt):
+            job = cluster.jobs.get(attempt.job_id)
+            if job is None or job.over:
+                report_violation(Invariant.RAN_CANCELLED, attempt.task, "start of a job that ended")
+                continue
             attempt.ordered = HeartbeatId(machine.incarnation, machine.sequence)
             commands.append(Command(CommandKind.START, attempt.task, attempt.number))
     return commands
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from micadeal import invariants
+
 
 @pytest.fixture(autouse=True)
 def log_filters_left_as_they_were() -> Iterator[None]:
@@ -20,3 +22,17 @@
     yield
     for handler, before in filters.items():
         handler.filters[:] = before
+
+
+@pytest.fixture(autouse=True)
+def no_invariant_violated(request: pytest.FixtureRequest) -> Iterator[None]:
+    """Fail a test in which the program reports that a rule would have been broken.
+
+    A test marked ``violates_invariant`` has to bring just the violations named about.
+    """
+    invariants.violations.clear()
+    yield
+    expected = request.node.get_closest_marker("violates_invariant")
+    found = set(invariants.violations)
+    assert found == (set(expected.args) if expected else set())
+    invariants.violations.clear()
