--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -11,6 +11,7 @@
 from tests.fakes.fault_histories import FAULTS, History
 from tests.fakes.faults.context import Fault, FaultContext
 from tests.fakes.kernel import now_s
+from tests.fakes.network import CutMode
 from tests.fakes.world import CONTROLLERS, World
 from tests.soak.world import SoakWorld
 
@@ -20,6 +21,11 @@
 QUESTIONS_PER_CONNECTION = 10
 #: Between the ends of leaders, or of controllers, in a series, in seconds.
 SERIES_INTERVALS_S = (6.0, 10.0, 14.0)
+#: How long a cut lasts, in seconds.
+CUT_DURATIONS_S = (3.0, 12.0, 30.0)
+#: Jobs that depend on others, and how often one is submitted, in seconds.
+MAX_DEPENDENT_JOBS = 8
+DEPENDENT_JOB_INTERVAL_S = 7.0
 
 
 async def pause(context: FaultContext) -> None:
@@ -49,9 +55,24 @@
         await curio.sleep(interval_s)
 
 
+async def cuts_between_any(context: FaultContext) -> None:
+    """Cut a few pairs of hosts of any kind, each for a time of its own."""
+    hosts = [f"c{number}" for number in range(CONTROLLERS)]
+    others = [*hosts, "state", "cloud", "user", *sorted(context.world.fleet.workers)]
+    for _ in range(context.random.choice([2, 4])):
+        host = context.random.choice(hosts)
+        other = context.random.choice([name for name in others if name != host])
+        mode = context.random.choice(list(CutMode))
+        duration_s = context.random.choice(CUT_DURATIONS_S)
+        await curio.spawn(context.cut, [(host, other)], mode, duration_s, daemon=True)
+        await curio.sleep(context.random.uniform(0.0, 6.0))
+    await curio.sleep(max(CUT_DURATIONS_S))
+
+
 CATALOGUE: dict[str, Fault] = {
     **FAULTS,
     "pause": pause,
+    "cuts between any": cuts_between_any,
     "leaders in series": leaders_in_series,
     "restarts in turn": restarts_in_turn,
 }
@@ -74,6 +95,7 @@
 
     async def _scenario(self, world: World) -> None:
         asking = await curio.spawn(self._ask_about_all, daemon=True)
+        submitting = await curio.spawn(self._submit_dependent_jobs, daemon=True)
         if self._workers:
             self.jobs.append(
                 await world.run_job(
@@ -81,8 +103,26 @@
                 )
             )
         await super()._scenario(world)
+        await submitting.cancel()
         await asking.cancel()
 
+    async def _submit_dependent_jobs(self) -> None:
+        """Submit jobs that need earlier ones, which may be cancelled; they need little room."""
+        dependent: list[str] = []
+        while len(dependent) < MAX_DEPENDENT_JOBS:
+            await curio.sleep(DEPENDENT_JOB_INTERVAL_S)
+            needed = [
+                job_id
+                for job_id in sorted(self.world.answers.accepted)
+                if self.world.fleet.jobs[job_id].spec["shape"] != "daemon"
+            ]
+            if needed:
+                names = self._user_draws.sample(needed, min(2, len(needed)))
+                small = {"accelerators": 0.0, "vcpus": 1.0, "ram_gb": 1.0, "image_gb": 0.1}
+                dependent.append(
+                    await self.world.run_job("array", 1, run_s=2.0, waits_on=names, **small)
+                )
+
     async def _ask_about_all(self) -> None:
         """Let the user of each accepted job ask every few seconds, and strangers now and then."""
         users: set[str] = set()
