Controllers: questions of all kinds share their comparisons; the public API is created in one place

Change: one coalescer of version checks for status and ancestors instead of two; Controller._create_public_api.

--- a/micadeal/controller/api/job_reader.py
+++ b/micadeal/controller/api/job_reader.py
@@ -70,7 +70,8 @@
         self._state = state
         self._answers = answers
         self._confirmer = confirmer
-        self._version_checks = VersionCheckCoalescer(state)
+        #: Shared by all questions, so that they share requests.
+        self.version_checks = VersionCheckCoalescer(state)
         self._live_records: RecentJobs[_LiveRecord] = RecentJobs()
 
     def prerequisites(self, job_id: str) -> tuple[str, ...]:
@@ -87,7 +88,7 @@
         versions = {
             JOBS + name: record.version for name, record in records.items() if record is not None
         }
-        unchanged = await self._version_checks.unchanged(versions)
+        unchanged = await self.version_checks.unchanged_keys(versions)
         for key in versions.keys() - unchanged:
             self._live_records.discard(key.removeprefix(JOBS))
         return {key.removeprefix(JOBS) for key in unchanged}
--- a/micadeal/controller/api/status.py
+++ b/micadeal/controller/api/status.py
@@ -20,7 +20,6 @@
 from micadeal.jobs.validate import JOB_ID
 from micadeal.schema.job_records import has_dependencies
 from micadeal.schema.keys import JOBS
-from micadeal.state.read_coalescing import VersionCheckCoalescer
 from micadeal.state.service import ConflictError, StateService, StateServiceError
 from micadeal.wire.state import Item
 from micadeal.wire.users import JobAnswer
@@ -50,7 +49,6 @@
         self._answers = answers
         self._reader = reader
         self._dependencies = dependencies
-        self._version_checks = VersionCheckCoalescer(state)
         #: Jobs that wait for no others, and the version of their records: as long as that holds
         #: they are neither done nor cancelled.
         self._independent_versions: RecentJobs[int] = RecentJobs()
@@ -106,7 +104,7 @@
         version = self._independent_versions.get(job_id)
         if version is None:
             return False
-        if await self._version_checks.holds(JOBS + job_id, version):
+        if await self._reader.version_checks.holds(JOBS + job_id, version):
             return True
         self._independent_versions.discard(job_id)
         return False
--- a/micadeal/controller/controller.py
+++ b/micadeal/controller/controller.py
@@ -150,8 +150,12 @@
             self._state_contact,
         )
         explainer = JobExplainer(self._state)
-        answer_log = AnswerLog(platform.name)
-        self._public_api = PublicApi(
+        self._public_api = self._create_public_api(heartbeats, explainer)
+        self._peer_api = PeerApi(self._peer_api_config(heartbeats, explainer))
+
+    def _create_public_api(self, heartbeats: HeartbeatApi, explainer: JobExplainer) -> PublicApi:
+        answer_log = AnswerLog(self._platform.name)
+        return PublicApi(
             heartbeats,
             self._job_api,
             self._readiness,
@@ -159,7 +163,6 @@
             SettingsApi(self._state),
             answer_log,
         )
-        self._peer_api = PeerApi(self._peer_api_config(heartbeats, explainer))
 
     def _peer_api_config(self, heartbeats: HeartbeatApi, explainer: JobExplainer) -> PeerApiConfig:
         return PeerApiConfig(
--- a/micadeal/state/read_coalescing.py
+++ b/micadeal/state/read_coalescing.py
@@ -50,9 +50,9 @@
         False may also mean that the service did not compare it: read the key then.  Raises
         ``StateServiceError`` if the service gave no usable answer.
         """
-        return key in await self.unchanged({key: version})
+        return key in await self.unchanged_keys({key: version})
 
-    async def unchanged(self, versions: Mapping[str, int]) -> set[str]:
+    async def unchanged_keys(self, versions: Mapping[str, int]) -> set[str]:
         """Return those of the keys that still have the version given, as ``holds`` does for one."""
         checks = [_VersionCheck(key, version) for key, version in versions.items()]
         self._waiting += checks
