--- a/micadeal/controller/api/responses.py
+++ b/micadeal/controller/api/responses.py
@@ -11,9 +11,9 @@
 RETRY_AFTER = timedelta(seconds=1)
 
 
-def no_such_job(proof: NeverAccepted) -> Answer:
+def no_such_job(_proof: NeverAccepted) -> Answer:
     """Answer that no such job was ever accepted."""
-    return error(404, "no such job", reason=f"neither a record nor an end: job={proof.job_id}")
+    return error(404, "no such job", reason="neither a record nor an end")
 
 
 def not_a_job_id() -> Answer:
