Soak: the end of a world in real time ends also what its last tasks start

Cause: curio cancels the tasks that are there; one that is about to run may start another before it is cancelled. Change: the shutdown is repeated until nothing is left. The verdict is made afterwards, as before.

--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -21,6 +21,8 @@
 
 OPTIONS = ROOT / "deploy" / "run.toml"
 WATCH_INTERVAL_S = 0.5
+#: How often all tasks are ended, until none has started another.
+MAX_SHUTDOWNS = 20
 #: A team without much of a limit, whose service keeps many machines busy.
 LARGE_TEAM = """
 [[cluster.teams]]
@@ -141,7 +143,11 @@
                 # Before the servers go: nothing may connect while they are shut down.
                 self.end_all()
 
-        curio.run(main_and_end)
+        kernel = curio.Kernel()
+        try:
+            kernel.run(main_and_end)
+        finally:
+            _shut_down(kernel)
         assert self.rules.violations == [], self.rules.violations
         return self
 
@@ -149,3 +155,15 @@
     def requests(self) -> int:
         """Requests that passed between processes."""
         return self._relays.requests
+
+
+def _shut_down(kernel: curio.Kernel) -> None:
+    """End all tasks of a kernel; those that were about to run may start others meanwhile."""
+    for _ in range(MAX_SHUTDOWNS):
+        try:
+            kernel.run(shutdown=True)
+        except AssertionError:
+            # Curio's word that there are new tasks: they are ended by the next try.
+            continue
+        return
+    raise RuntimeError("tasks go on to start others")
