Soak: plays a scenario by the same steps as the world in memory

Cause: SoakWorld.play wrote out the steps of World.play and its verdict once more. Change: World._play and World._without_violations serve both; the soak's controllers start one after the other, as in memory. A comment on the count of processes was wrong. Assertions are the same.

--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -40,14 +40,17 @@
         ``earlier``: the controllers know no more than the version before pipelines.
         """
 
-        async def main() -> None:
-            await self.start_services()
-            for number in range(CONTROLLERS):
-                await self.start(number, earlier)
-            await scenario(self)
-            await self._check_nothing_forgotten()
+        run_stepped(lambda: self._play(scenario, earlier), monkeypatch)
+        return self._without_violations()
+
+    async def _play(self, scenario: Callable[[World], Awaitable[None]], earlier: bool) -> None:
+        await self.start_services()
+        for number in range(CONTROLLERS):
+            await self.start(number, earlier)
+        await scenario(self)
+        await self._check_nothing_forgotten()
 
-        run_stepped(main, monkeypatch)
+    def _without_violations(self) -> World:
         assert self.rules.violations == [], self.rules.violations
         return self
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -56,7 +56,7 @@
         self._relays = Relays(self.network)
         self._addresses = {f"c{n}": (free_address(), free_address()) for n in range(CONTROLLERS)}
         self.controllers: dict[int, ControllerProcess] = {}
-        #: Processes started, by controller.
+        #: Processes started so far.
         self.starts = 0
 
     # -- processes -------------------------------------------------------------------------
@@ -128,28 +128,19 @@
         """Run a scenario in real time; fails if a rule of the protocol was broken."""
 
         async def main() -> None:
-            await self.start_services()
-            await curio.spawn(self._watch_processes, daemon=True)
-            async with curio.TaskGroup() as group:
-                for number in range(CONTROLLERS):
-                    await group.spawn(self.start, number)
-            await scenario(self)
-            await self._check_nothing_forgotten()
-
-        async def main_and_end() -> None:
             try:
-                await main()
+                await curio.spawn(self._watch_processes, daemon=True)
+                await self._play(scenario, earlier)
             finally:
                 # Before the servers go: nothing may connect while they are shut down.
                 self.end_all()
 
         kernel = curio.Kernel()
         try:
-            kernel.run(main_and_end)
+            kernel.run(main)
         finally:
             _shut_down(kernel)
-        assert self.rules.violations == [], self.rules.violations
-        return self
+        return self._without_violations()
 
     @property
     def requests(self) -> int:
