--- /dev/null
+++ b/tests/fakes/forgotten_jobs.py
@@ -0,0 +1,127 @@
+"""The rule ``forgotten``: whether users' questions about accepted jobs are answered.
+
+No input or output and no clock of its own: whoever plays users reports what they were answered, and
+when, in seconds on any steady clock.  The rule has four forms, see ``Form``.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum, StrEnum
+from http import HTTPStatus
+
+#: An accepted job of which every question fails for so long, while most others are answered.
+UNANSWERED_WHILE_OTHERS_ARE_S = 90.0
+#: The same once all faults are over, however others fare.
+UNANSWERED_AFTER_FAULTS_S = 75.0
+
+
+class RequestKind(Enum):
+    """What a user asked for."""
+
+    STATUS = "status"
+    SUBMISSION = "submission"
+    CANCELLATION = "cancellation"
+
+
+class Form(StrEnum):
+    """The ways in which an accepted job is forgotten."""
+
+    NOT_FOUND = "answered 404"
+    REFUSED = "its repeated submission is refused"
+    UNANSWERED_ALONE = "no question is answered for 90 s while most others are"
+    UNANSWERED_AFTER_FAULTS = "no question is answered for 75 s after all faults"
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """One job that was forgotten."""
+
+    form: Form
+    job_id: str
+    at: float
+    detail: str = ""
+
+    def __str__(self) -> str:
+        return f"forgotten {self.job_id}: {self.form}{self.detail and ', '}{self.detail}"
+
+
+@dataclass(frozen=True, slots=True)
+class _Question:
+    """The outcome of one question about a job."""
+
+    asked_at: float
+    job_id: str
+    answered: bool
+
+
+class ForgottenJobs:
+    """Collects answers to users, and says which accepted jobs are forgotten by them."""
+
+    def __init__(self) -> None:
+        self._accepted: set[str] = set()
+        #: When the first of the questions that failed since the last answer was put.
+        self._failing_since: dict[str, float] = {}
+        #: Questions of the last ``UNANSWERED_WHILE_OTHERS_ARE_S``, in the order of their answers.
+        self._recent: deque[_Question] = deque()
+        self._faults_ended_at: float | None = None
+        #: The longest time for which all questions about one job failed, and which job it was.
+        self.longest_unanswered_s = 0.0
+        self.longest_unanswered_job: str | None = None
+
+    def accept(self, job_id: str) -> None:
+        """Note that a user was answered that the job is accepted."""
+        self._accepted.add(job_id)
+
+    def end_faults(self, now: float) -> None:
+        """Note that no fault is left from now on."""
+        self._faults_ended_at = now
+
+    def begin_faults(self) -> None:
+        """Note that faults may occur again."""
+        self._faults_ended_at = None
+
+    def record(
+        self, kind: RequestKind, job_id: str, status: int, asked_at: float, now: float
+    ) -> Violation | None:
+        """Take in the outcome of a request; status 0: there was no answer.
+
+        Returns the violation that shows with it, if there is one.
+        """
+        if job_id not in self._accepted:
+            return None
+        if status == HTTPStatus.NOT_FOUND:
+            return Violation(Form.NOT_FOUND, job_id, now, f"to a {kind.value}")
+        if kind is RequestKind.SUBMISSION:
+            refused = status in (HTTPStatus.BAD_REQUEST, HTTPStatus.UNPROCESSABLE_ENTITY)
+            return Violation(Form.REFUSED, job_id, now, f"{status}") if refused else None
+        if kind is RequestKind.CANCELLATION:
+            return None
+        return self._record_question(_Question(asked_at, job_id, status == HTTPStatus.OK), now)
+
+    def _record_question(self, question: _Question, now: float) -> Violation | None:
+        self._recent.append(question)
+        while self._recent[0].asked_at < now - UNANSWERED_WHILE_OTHERS_ARE_S:
+            self._recent.popleft()
+        job_id = question.job_id
+        if question.answered:
+            self._failing_since.pop(job_id, None)
+            return None
+        since = self._failing_since.setdefault(job_id, question.asked_at)
+        if now - since > self.longest_unanswered_s:
+            self.longest_unanswered_s, self.longest_unanswered_job = now - since, job_id
+        return self._check_unanswered(job_id, since, now)
+
+    def _check_unanswered(self, job_id: str, since: float, now: float) -> Violation | None:
+        if now - since >= UNANSWERED_WHILE_OTHERS_ARE_S and self._most_others_answered(job_id):
+            return Violation(Form.UNANSWERED_ALONE, job_id, now)
+        if self._faults_ended_at is None:
+            return None
+        if now - max(since, self._faults_ended_at) >= UNANSWERED_AFTER_FAULTS_S:
+            return Violation(Form.UNANSWERED_AFTER_FAULTS, job_id, now)
+        return None
+
+    def _most_others_answered(self, job_id: str) -> bool:
+        others = [question.answered for question in self._recent if question.job_id != job_id]
+        return 2 * sum(others) > len(others)
