--- /dev/null
+++ b/tests/soak/history.py
@@ -0,0 +1,108 @@
+"""A seeded history on real processes: the faults of those in memory, and some of processes."""
+
+from __future__ import annotations
+
+import random
+from functools import partial
+from pathlib import Path
+
+import curio
+
+from tests.fakes.fault_histories import FAULTS, History
+from tests.fakes.faults.context import Fault, FaultContext
+from tests.fakes.kernel import now_s
+from tests.fakes.world import CONTROLLERS, World
+from tests.soak.world import SoakWorld
+
+#: How often the user of each job asks, in seconds.
+POLL_INTERVAL_S = 5.0
+#: A connection to a controller is kept for so many questions, unless one fails.
+QUESTIONS_PER_CONNECTION = 10
+#: Between the ends of leaders, or of controllers, in a series, in seconds.
+SERIES_INTERVALS_S = (6.0, 10.0, 14.0)
+
+
+async def pause(context: FaultContext) -> None:
+    """Let a controller's process stand still while its clocks run on."""
+    world = context.world
+    assert isinstance(world, SoakWorld)
+    process = world.controllers[context.random.randrange(CONTROLLERS)]
+    duration_s = context.random.choice([1.0, 6.0, 16.0])
+    process.pause()
+    await curio.sleep(duration_s)
+    process.resume()
+
+
+async def leaders_in_series(context: FaultContext) -> None:
+    """End leader after leader."""
+    interval_s = context.random.choice(SERIES_INTERVALS_S)
+    for _ in range(4):
+        await context.restart(context.leader(), context.random.choice([0.1, 3.0]))
+        await curio.sleep(interval_s)
+
+
+async def restarts_in_turn(context: FaultContext) -> None:
+    """Restart one controller after the other, twice."""
+    interval_s = context.random.choice(SERIES_INTERVALS_S)
+    for number in range(2 * CONTROLLERS):
+        await context.restart(number % CONTROLLERS, context.random.choice([0.1, 5.0]))
+        await curio.sleep(interval_s)
+
+
+CATALOGUE: dict[str, Fault] = {
+    **FAULTS,
+    "pause": pause,
+    "leaders in series": leaders_in_series,
+    "restarts in turn": restarts_in_turn,
+}
+
+
+class SoakHistory(History):
+    """One seeded history; every accepted job is asked about throughout."""
+
+    world: SoakWorld
+
+    def __init__(self, seed: int, folder: Path, workers: int, quiet_s: float) -> None:
+        """Draw a history.  ``workers``: machines that a service keeps busy, besides all others."""
+        super().__init__(
+            seed, catalogue=CATALOGUE, world_type=partial(SoakWorld, folder, workers=workers)
+        )
+        self.quiet_s = quiet_s
+        self._workers = workers
+        self._user_draws = random.Random(f"users {seed}")
+        self.questions = 0
+
+    async def _scenario(self, world: World) -> None:
+        asking = await curio.spawn(self._ask_about_all, daemon=True)
+        if self._workers:
+            self.jobs.append(
+                await world.run_job(
+                    "daemon", self._workers, crew="large", accelerators=2.0, image_gb=0.1
+                )
+            )
+        await super()._scenario(world)
+        await asking.cancel()
+
+    async def _ask_about_all(self) -> None:
+        """Let the user of each accepted job ask every few seconds, and strangers now and then."""
+        users: set[str] = set()
+        while True:
+            for job_id in sorted(self.world.answers.accepted - users):
+                users.add(job_id)
+                await curio.spawn(self._ask_about, job_id, daemon=True)
+            stranger = f"req-9{self._user_draws.randrange(10**5):05d}"
+            number = self._user_draws.randrange(CONTROLLERS)
+            await curio.spawn(self.world.status, stranger, number, daemon=True)
+            await curio.sleep(1)
+
+    async def _ask_about(self, job_id: str) -> None:
+        number = self._user_draws.randrange(CONTROLLERS)
+        asked = 0
+        while True:
+            began = now_s()
+            answered = await self.world.status(job_id, number) is not None
+            self.questions += 1
+            asked += 1
+            if not answered or asked % QUESTIONS_PER_CONNECTION == 0:
+                number = (number + self._user_draws.choice([1, 2])) % CONTROLLERS
+            await curio.sleep(max(0.0, began + POLL_INTERVAL_S - now_s()))
