--- a/micadeal/invariants.py
+++ b/micadeal/invariants.py
@@ -18,7 +18,9 @@
 
     FORGOTTEN = "forgotten"
     RAN_CANCELLED = "ran_cancelled"
-    NOT_DONE = "not_done"
+    RAN_TWICE = "ran_twice"
+    WRONG_PLACE = "wrong_place"
+    TOO_EARLY = "too_early"
 
 
 #: How often each rule would have been broken in this process.
--- a/micadeal/scheduling/worker_commands.py
+++ b/micadeal/scheduling/worker_commands.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from micadeal.fleet.machines import HeartbeatId, Machine
-from micadeal.invariants import Invariant, report_violation
+from micadeal.invariants import report_violation
 from micadeal.scheduling.cluster_state import ClusterState
+from micadeal.scheduling.start_invariants import broken_rule
 from micadeal.wire.workers import Command, CommandKind
 
 
@@ -58,9 +59,9 @@
         if attempt.state is not None or attempt.stop is not None:
             continue
         if attempt.durable and cluster.is_ours(attempt):
-            job = cluster.jobs.get(attempt.job_id)
-            if job is None or job.over:
-                report_violation(Invariant.RAN_CANCELLED, attempt.task, "start of a job that ended")
+            broken = broken_rule(cluster, machine, attempt)
+            if broken is not None:
+                report_violation(broken.invariant, attempt.task, broken.reason)
                 continue
             attempt.ordered = HeartbeatId(machine.incarnation, machine.sequence)
             commands.append(Command(CommandKind.START, attempt.task, attempt.number))
