Cancellations: one that a controller can't confirm alone is confirmed by another

Callers saw: at a controller that reaches no other one, while the state service and users reach it, a cancellation and all questions about the job get 503 for as long as that lasts (100 s in the listed test).

Cause: "cancelled" needs a majority that knows, and the only way to learn that was to tell each controller directly. The others were able to confirm, and had no way to say so. Evidence: "cancellation not confirmed: reason=too few controllers know of it" at each question, nothing in the others' logs.

Change: the controller names the job under seat/unconfirmed/<name>, which all followers read and watch anyway. Whoever may tell a user of its own that the job is cancelled records `confirmed` in the job's end, and the asking controller finds it there. Nothing is confirmed by other means than before: the publisher looks the job up as for a user.

Tests: the listed one passes (the sentence on its cause is brought up to date, nothing else).

--- a/micadeal/controller/api/confirmation.py
+++ b/micadeal/controller/api/confirmation.py
@@ -43,15 +43,18 @@
         broadcast: Callable[[str], Awaitable[CancellationConfirmation]],
         cancel_timeout: timedelta,
         ages: CancellationAges,
+        ask_others: Callable[[str], None],
     ) -> None:
         """Confirm by ``broadcast``, which makes a cancellation known to the other controllers.
 
-        A task is gone ``cancel_timeout`` after its cancellation was confirmed.
+        A task is gone ``cancel_timeout`` after its cancellation was confirmed.  ``ask_others``
+        asks controllers that can't be told directly to confirm a cancellation in our place.
         """
         self._answers = answers
         self._broadcast = broadcast
         self._cancel_timeout = cancel_timeout
         self._ages = ages
+        self._ask_others = ask_others
 
     async def confirm(self, answer: JobAnswer, cannot_start: bool = False) -> JobAnswer:
         """Make the cancellation known, and return the answer if a user may be given it.
@@ -67,6 +70,7 @@
         job_id = answer.job_id
         confirmation = await self._broadcast(job_id)
         if not confirmation.majority_notified:
+            self._ask_others(job_id)
             raise _unconfirmed(job_id, "too few controllers know of it")
         if not (cannot_start or confirmation.no_task_can_start):
             self._check_tasks_are_gone(job_id)
--- a/micadeal/controller/api/job_reader.py
+++ b/micadeal/controller/api/job_reader.py
@@ -147,7 +147,9 @@
         return job
 
     async def read_end(self, job_id: str, cannot_start: bool = False) -> JobAnswer | None:
-        """Read the end of a job, and confirm it if it is a cancellation; None: there is none.
+        """Read the end of a job; None: there is none.
+
+        A cancellation is confirmed, unless its record says that another controller has done that.
 
         ``cannot_start``: it is certain that no task of the job can start.
         """
@@ -157,6 +159,6 @@
         end = decode_end(item)
         done = end.tasks if end.status is Status.DONE else None
         answer = JobAnswer(job_id, end.status, done, 0 if done else None)
-        if end.status is Status.CANCELLED:
+        if end.status is Status.CANCELLED and not end.confirmed:
             return await self._confirmer.confirm(answer, cannot_start)
         return self._answers.remember_final(answer)
--- a/micadeal/controller/api/jobs.py
+++ b/micadeal/controller/api/jobs.py
@@ -16,7 +16,7 @@
 from micadeal.controller.api.cancellation_ages import CancellationAges
 from micadeal.controller.api.confirmation import CancellationConfirmation, CancellationConfirmer
 from micadeal.controller.api.dependencies import DependencyReader
-from micadeal.controller.api.job_reader import JobReader
+from micadeal.controller.api.job_reader import JobReader, NeverAccepted
 from micadeal.controller.api.known_answers import KnownAnswers
 from micadeal.controller.api.status import JobStatus
 from micadeal.controller.api.submission import JobSubmission
@@ -25,6 +25,7 @@
 from micadeal.state.service import StateService
 from micadeal.wire.cloud import MachineType
 from micadeal.wire.peers import Counts
+from micadeal.wire.users import JobAnswer
 
 
 class JobApi:
@@ -36,16 +37,18 @@
         teams: dict[str, Team],
         broadcast: Callable[[str], Awaitable[CancellationConfirmation]],
         cancel_timeout: timedelta,
+        ask_others: Callable[[str], None],
     ) -> None:
         """Serve the users of one controller.
 
         ``broadcast`` makes a cancellation known to the other controllers; ``cancel_timeout`` after
-        a cancellation was confirmed no task of the job is left.
+        a cancellation was confirmed no task of the job is left; ``ask_others`` asks controllers
+        that can't be told directly to confirm a cancellation in our place.
         """
         self._answers = KnownAnswers()
         self._cancellation_ages = CancellationAges()
         confirmer = CancellationConfirmer(
-            self._answers, broadcast, cancel_timeout, self._cancellation_ages
+            self._answers, broadcast, cancel_timeout, self._cancellation_ages, ask_others
         )
         reader = JobReader(state, self._answers, confirmer)
         self._dependencies = DependencyReader(reader, self._answers, cancel_timeout)
@@ -69,6 +72,10 @@
         """Answer a request to cancel a job."""
         return await self._cancellation.cancel(job_id)
 
+    async def look_up(self, job_id: str) -> JobAnswer | NeverAccepted:
+        """Return what a user may be told of a job now; raise ``StateServiceError`` if nothing."""
+        return await self._status.look_up(job_id)
+
     # -- reports of leaders and other controllers ------------------------------------------
 
     @property
--- a/micadeal/controller/controller.py
+++ b/micadeal/controller/controller.py
@@ -12,6 +12,11 @@
 from micadeal.clock import monotonic, seconds, utc_now
 from micadeal.controller.api.answer_log import AnswerLog
 from micadeal.controller.api.cancellation_broadcast import CancellationBroadcaster
+from micadeal.controller.api.confirmation_exchange import (
+    ConfirmationExchange,
+    ConfirmationPublisher,
+    ConfirmationRequests,
+)
 from micadeal.controller.api.heartbeats import HeartbeatApi
 from micadeal.controller.api.job_explanations import JobExplainer
 from micadeal.controller.api.jobs import JobApi
@@ -128,12 +133,16 @@
             self._follower_leases,
             self._all_started,
         )
+        requests = ConfirmationRequests(platform.name, self._state)
         self._job_api = JobApi(
             self._state,
             platform.teams,
             self._cancellations.broadcast,
             platform.workers.cancel_timeout,
+            requests.add,
         )
+        publisher = ConfirmationPublisher(self._state, self._job_api.look_up, self._leads_apart)
+        self._confirmations = ConfirmationExchange(platform.name, requests, publisher)
         self._readiness = Readiness(
             self._feature_levels,
             self._state_contact,
@@ -178,6 +187,11 @@
             on_leader_announced=self._on_leader_announced,
         )
 
+    def _leads_apart(self) -> bool:
+        """Return whether this controller leads and does not reach all others."""
+        apart = len(self._peer_links.reaches()) < len(self._peer_names)
+        return apart and self._leader.actor is not None
+
     def _all_started(self) -> frozenset[str]:
         # Looked up at each call: the job API needs the broadcaster, so it is created after it.
         return self._job_api.all_started()
@@ -204,6 +218,7 @@
                 ("election", self._election.run),
                 ("peer links", self._run_peer_links),
                 ("catalog", self._poll_catalog),
+                ("confirmations", self._confirmations.run),
             ):
                 await group.spawn(keep_running, name, work)
 
@@ -248,6 +263,7 @@
         match event:
             case LeaderLockRead(leader_lock):
                 self._feature_levels.on_leader_lock_read(leader_lock)
+                self._confirmations.on_leader_lock_read(leader_lock)
             case Elected(term, leader_lock):
                 self._feature_levels.on_leader_lock_read(leader_lock)
                 await self._begin_term(term)
--- a/micadeal/rollout/leader_lock.py
+++ b/micadeal/rollout/leader_lock.py
@@ -10,6 +10,8 @@
   exists.
 - ``seat/level``: the level in force (``LevelRecord``); absent: 0.
 - ``seat/member/<name>``: the current process of each controller.
+- ``seat/unconfirmed/<name>``: no part of the lock, but read with it, since all followers read this
+  prefix: the cancellations that a controller can't confirm alone.
 
 A term's token is the revision of the transaction that won it.  Every write of a leader depends on
 the version of ``leader``, its *fence*.  Each change of the level writes ``leader`` anew, so nothing
@@ -24,7 +26,7 @@
 
 from micadeal.rollout.feature_level import Build, FeatureLevel, is_valid
 from micadeal.rollout.membership import Process
-from micadeal.schema.keys import LEADER, LEVEL, LOCK_HOLDER, MEMBER
+from micadeal.schema.keys import LEADER, LEVEL, LOCK_HOLDER, MEMBER, UNCONFIRMED
 from micadeal.wire.codec import MessageFormatError, convert
 from micadeal.wire.state import (
     Condition,
@@ -35,6 +37,7 @@
     LockHolderRecord,
     MemberRecord,
     Put,
+    UnconfirmedRecord,
 )
 
 #: The conditions and the changes of a transaction.
@@ -50,6 +53,8 @@
     holder: LockHolderRecord | None = None
     level: LevelRecord = field(default_factory=LevelRecord)
     members: Mapping[str, Process] = field(default_factory=dict)
+    #: Cancelled jobs that a controller can't confirm alone, by its name.
+    unconfirmed: Mapping[str, Sequence[str]] = field(default_factory=dict)
     #: Versions of all keys, readable or not.
     versions: Mapping[str, int] = field(default_factory=dict)
     #: Keys whose values can't be read, or are inconsistent.
@@ -95,6 +100,7 @@
     """
     versions: dict[str, int] = {}
     members: dict[str, Process] = {}
+    unconfirmed: dict[str, Sequence[str]] = {}
     damaged: list[str] = []
     leader: LeaderRecord | None = None
     holder: LockHolderRecord | None = None
@@ -110,9 +116,14 @@
                 level = _decode_level(item)
             elif item.key.startswith(MEMBER):
                 members[item.key.removeprefix(MEMBER)] = _decode_member(item)
+            elif item.key.startswith(UNCONFIRMED):
+                name = item.key.removeprefix(UNCONFIRMED)
+                unconfirmed[name] = convert(UnconfirmedRecord, item.value).job_ids
         except MessageFormatError:
             damaged.append(item.key)
-    return LeaderLock(revision, leader, holder, level, members, versions, tuple(damaged))
+    return LeaderLock(
+        revision, leader, holder, level, members, unconfirmed, versions, tuple(damaged)
+    )
 
 
 def _decode_level(item: Item) -> LevelRecord:
--- a/micadeal/schema/keys.py
+++ b/micadeal/schema/keys.py
@@ -17,6 +17,8 @@
 LEVEL = "seat/level"
 #: The process that runs of each controller, by name (``MemberRecord``).
 MEMBER = "seat/member/"
+#: Cancellations that a controller can't confirm alone, by its name (``UnconfirmedRecord``).
+UNCONFIRMED = "seat/unconfirmed/"
 
 #: Submitted jobs, by id (``JobRecord`` or ``SplitRecord``).
 JOBS = "job/"
--- a/micadeal/wire/state.py
+++ b/micadeal/wire/state.py
@@ -223,6 +223,9 @@
     cpus: float = 0.0
     gpus: float = 0.0
     memory_gb: float = 0.0
+    #: A controller was entitled to tell a user that the job is cancelled; so is every other since.
+    #: Set only where one has asked for it (``UnconfirmedRecord``).
+    confirmed: bool = False
 
     @classmethod
     def of(cls, status: Status, spec: Submission, ended_at: float) -> EndRecord:
@@ -230,6 +233,12 @@
         return cls(status, spec.tasks, ended_at, spec.team, spec.cpus, spec.gpus, spec.memory_gb)
 
 
+class UnconfirmedRecord(msgspec.Struct):
+    """Under ``seat/unconfirmed/<name>``: cancelled jobs that the controller can't confirm alone."""
+
+    job_ids: list[str]
+
+
 class EndStatus(msgspec.Struct):
     """Of an ``EndRecord`` only the status: users must be told it though the rest is damaged."""
 
--- a/tests/test_external_names.py
+++ b/tests/test_external_names.py
@@ -58,6 +58,7 @@
     assert keys.LOCK_HOLDER == "seat/held"
     assert keys.LEVEL == "seat/level"
     assert keys.MEMBER == "seat/member/"
+    assert keys.UNCONFIRMED == "seat/unconfirmed/"
     assert keys.JOBS == "job/"
     assert keys.PARTS == "part/"
     assert keys.ENDS == "end/"
--- a/tests/test_unanswered_jobs.py
+++ b/tests/test_unanswered_jobs.py
@@ -200,8 +200,7 @@
 
     What is seen: the cancellation and all questions about the job get 503 as long as the cut lasts;
     those about other jobs are answered.  A user whose connection stays open asks nobody else.
-    Cause, as far as known: no majority is told of the cancellation, and the controller calls itself
-    ready.  Not mended yet.
+    Cause: no majority is told of the cancellation, and the others had no way to say that they know.
     """
 
     async def scenario(world: World) -> None:
--- a/tests/test_wire_compatibility.py
+++ b/tests/test_wire_compatibility.py
@@ -79,6 +79,7 @@
     SettingsRecord,
     SplitRecord,
     Transaction,
+    UnconfirmedRecord,
     WatchResponse,
 )
 from micadeal.wire.users import JobAnswer, JobName, Priority, Shape, Status, Submission
@@ -142,6 +143,7 @@
     "state_split": SplitRecord,
     "state_part": PartRecord,
     "state_end": EndRecord,
+    "state_unconfirmed": UnconfirmedRecord,
     "state_end_status": EndStatus,
     "state_finished": FinishedRecord,
     "state_placed_task": PlacedTask,
@@ -162,7 +164,10 @@
     "workers_redirect": Redirect,
 }
 #: Fields that came after the cases were recorded; they have cases in ``wire_additions.json``.
-FIELDS_ADDED_LATER = {"mesh_pong": ["Pong.cancellation_ages"]}
+FIELDS_ADDED_LATER = {
+    "mesh_pong": ["Pong.cancellation_ages"],
+    "state_end": ["EndRecord.confirmed"],
+}
 #: Messages that are JSON on the wire; all others are MessagePack.
 JSON_MESSAGES = {"signals_point", "signals_series"}
 #: Sent and never read by this program: the values whose encodings were recorded.
