Controllers: the first reads of a term are a module of their own

Change: controller/initial_records.py reads all records and returns StateLoaded alone, since the listing carries its revision; the links to peers and the election are created in methods of their own.

--- a/micadeal/controller/controller.py
+++ b/micadeal/controller/controller.py
@@ -101,28 +101,34 @@
             else FollowerLeases(self._peer_names, self._renewal_timing, monotonic())
         )
         self._feature_levels = self._create_feature_levels(build)
-        self._peer_links = PeerLinks(
-            platform.name,
-            platform.peers,
+        self._peer_links = self._create_peer_links()
+        self._election = self._create_election()
+        self._create_apis()
+
+    def _create_feature_levels(self, build: Build | None) -> FeatureLevels:
+        """Create the knowledge of levels; a method of its own, for subclasses of other versions."""
+        return FeatureLevels(self._platform.name, self._peer_names, monotonic(), build)
+
+    def _create_peer_links(self) -> PeerLinks:
+        return PeerLinks(
+            self._platform.name,
+            self._platform.peers,
             self._network,
             self._follower_leases,
             self._feature_levels,
             self._state_contact.reachable,
             lambda: self._leader.loading,
         )
-        self._election = Election(
-            platform.name,
+
+    def _create_election(self) -> Election:
+        return Election(
+            self._platform.name,
             self._feature_levels.process,
             utc_now().timestamp(),
             self._state,
             self._on_election,
             lambda: self._feature_levels.election_delay(monotonic()),
         )
-        self._create_apis()
-
-    def _create_feature_levels(self, build: Build | None) -> FeatureLevels:
-        """Create the knowledge of levels; a method of its own, for subclasses of other versions."""
-        return FeatureLevels(self._platform.name, self._peer_names, monotonic(), build)
 
     def _create_apis(self) -> None:
         """Create the parts that answer requests."""
--- a/micadeal/controller/leader.py
+++ b/micadeal/controller/leader.py
@@ -392,11 +392,7 @@
             state_reachable=self._authority.current() is Authority.FULL,
         )
         overview.level = self._feature_levels.level_line(now)
-        overview.notes = sorted(
-            [
-                *overview.notes,
-                *self._zone_observer.notes(now),
-                *self._record_loader.unreadable.notes(),
-            ]
-        )
+        overview.notes += self._zone_observer.notes(now)
+        overview.notes += self._record_loader.unreadable.notes()
+        overview.notes.sort()
         return overview
--- a/micadeal/controller/watchers.py
+++ b/micadeal/controller/watchers.py
@@ -11,11 +11,10 @@
 from datetime import timedelta
 from typing import Any
 
-import curio
-
 from micadeal.actor import MailboxFullError
 from micadeal.clock import monotonic, seconds
 from micadeal.controller.background_tasks import BackgroundTasks, poll_forever
+from micadeal.controller.initial_records import read_initial_records
 from micadeal.controller.messages import (
     CatalogLoaded,
     GetJobsToReread,
@@ -24,38 +23,16 @@
     JobsReloaded,
     MachineListLoaded,
     SettingsChanged,
-    StateLoaded,
 )
 from micadeal.fleet.cloud import LIST_INTERVAL, Cloud
-from micadeal.rollout.feature_level import FeatureLevel
-from micadeal.schema.decoding import VersionedRecord, decode_item, decode_placements, read
-from micadeal.schema.job_listing import JobListing
+from micadeal.schema.decoding import decode_item
 from micadeal.schema.job_records import part_keys
-from micadeal.schema.keys import (
-    DONE,
-    ENDS,
-    FINISHED,
-    IMAGES,
-    JOBS,
-    LEAVING,
-    MACHINE_PLACEMENTS,
-    PARTS,
-    PLACED,
-    SETTINGS,
-)
+from micadeal.schema.keys import ENDS, JOBS, PARTS, SETTINGS
 from micadeal.state.service import RevisionCompactedError, StateService, StateServiceError, Urgency
 from micadeal.timeouts import sleep, with_timeout
 from micadeal.wire.cloud import ListedMachine, MachineType
 from micadeal.wire.codec import MessageFormatError
-from micadeal.wire.state import (
-    EndRecord,
-    Event,
-    FinishedRecord,
-    ImagesRecord,
-    Item,
-    PlacedRecord,
-    ReturnedMachinesRecord,
-)
+from micadeal.wire.state import EndRecord, Event, Item
 
 log = logging.getLogger(__name__)
 
@@ -117,85 +94,16 @@
         """Read all records, then watch jobs and settings for changes."""
         while True:
             try:
-                loaded, revision = await self._read_all()
+                loaded = await read_initial_records(self._state, self._oldest_level)
                 break
             except StateServiceError as problem:
                 log.info("records not loaded yet: reason=%s", problem)
                 await sleep(RETRY_INTERVAL)
         await self._tell(loaded)
+        revision = loaded.jobs.revision
         await self._background_tasks.spawn(self._watch_settings, revision)
         await self._watch_jobs(revision)
 
-    async def _read_all(self) -> tuple[StateLoaded, int]:
-        """Read all records; also return the revision from which to watch.
-
-        What only leaders change is read concurrently, since nobody else leads.  Parts of
-        descriptions are read after the jobs that they belong to: in the other order a job that was
-        accepted between the two reads would lack its parts.
-        """
-        requested_at = monotonic()
-        older = (MACHINE_PLACEMENTS, DONE) if self._oldest_level < FeatureLevel.FENCED else ()
-        prefixes = (PLACED, IMAGES, LEAVING, FINISHED, *older)
-        results: dict[str, list[Item] | StateServiceError] = {}
-
-        async def fetch(prefix: str) -> None:
-            try:
-                results[prefix], _ = await self._state.range(prefix, Urgency.LEASE)
-            except StateServiceError as problem:
-                results[prefix] = problem
-
-        async with curio.TaskGroup() as group:
-            for prefix in prefixes:
-                await group.spawn(fetch, prefix)
-            jobs, revision = await self._state.range(JOBS, Urgency.LEASE)
-            parts, _ = await self._state.range(PARTS, Urgency.LEASE)
-            settings = await self._state.get(SETTINGS, Urgency.LEASE)
-
-        def items(prefix: str) -> list[Item]:
-            # Guards ``ran_twice``: a range that could not be read is not taken for an empty one.
-            result = results[prefix] if prefix in prefixes else []
-            if isinstance(result, StateServiceError):
-                raise result
-            return result
-
-        placed = decode_placements(items(PLACED) + items(MACHINE_PLACEMENTS))
-        loaded = StateLoaded(
-            jobs=JobListing(jobs, revision),
-            placed=placed,
-            images=read(items(IMAGES), ImagesRecord),
-            returned_machines=read(items(LEAVING), ReturnedMachinesRecord),
-            finished=read(items(DONE) + items(FINISHED), FinishedRecord),
-            parts=parts,
-            ended=await self._read_ends_of_placed(jobs, placed),
-            settings=settings,
-            requested_at=requested_at,
-        )
-        return loaded, revision
-
-    async def _read_ends_of_placed(
-        self, jobs: list[Item], placed: list[VersionedRecord[PlacedRecord]]
-    ) -> dict[str, EndRecord]:
-        """Read the ends of jobs that are over but may have tasks on machines.
-
-        Such tasks still count for their teams.
-        """
-        live_jobs = {item.key.removeprefix(JOBS) for item in jobs}
-        ended_jobs = {
-            task.job_id
-            for versioned in placed
-            if versioned.record is not None
-            for machine in versioned.record.machines
-            for task in machine.tasks
-            if task.job_id not in live_jobs
-        }
-        ends: dict[str, EndRecord] = {}
-        for job_id in sorted(ended_jobs):
-            item = await self._state.get(ENDS + job_id, Urgency.LEASE)
-            end = None if item is None else decode_item(item, EndRecord)
-            if end is not None:
-                ends[job_id] = end
-        return ends
-
     # -- changes ---------------------------------------------------------------------------
 
     async def _watch_jobs(self, revision: int) -> None:
