Soak, histories: jobs stored in parts, a controller without peers, kept connections

Cause: neither found the two mended faults. No job was large enough to be stored in parts, no controller was without its peers for as long as users may go without an answer, and every user moved after one failed question.

The soak's processes get announced limits of the state service like those in memory. A test plays four histories of split jobs with leaders that end and hand over. The soak's catalogue has one fault more, so its seeds draw others than before.

--- a/bench/fault_histories.py
+++ b/bench/fault_histories.py
@@ -6,7 +6,8 @@
 Each pair of faults is played in turn, at instants drawn from the seed
 (``tests/fakes/fault_histories.py``).  What breaks is printed with its seed; ``--seed`` plays one
 history again, and ``--events FILE`` writes down every request that it sends: for the same seed
-these are the same in every process.  The exit code is 1 if something broke.
+these are the same in every process.  With ``--split-jobs`` descriptions of jobs are stored in
+parts.  The exit code is 1 if something broke.
 
 ``--guards`` disables the guards of the code in turn, and plays histories of the faults that each is
 meant for until one breaks a rule.  The exit code is 1 if a guard broke nothing.
@@ -21,6 +22,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import replace
 from datetime import timedelta
+from functools import partial
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -76,9 +78,9 @@
     return () if drawn else PAIRS[(seed - seed // DRAWN_EVERY) % len(PAIRS)]
 
 
-def play(seed: int) -> Outcome:
+def play(seed: int, split_jobs: bool) -> Outcome:
     """Play the history with this seed."""
-    history = History(seed, faults_of(seed))
+    history = History(seed, faults_of(seed), split_jobs=split_jobs)
     broken = history.play()
     return Outcome(history.line(), faults_of(seed), broken, history.gone_after)
 
@@ -228,9 +230,9 @@
     return 1 if useless else 0
 
 
-def play_one(seed: int, events_file: Path | None) -> int:
+def play_one(seed: int, split_jobs: bool, events_file: Path | None) -> int:
     """Play one history in this process and print what broke; return the exit code."""
-    history = History(seed, faults_of(seed))
+    history = History(seed, faults_of(seed), split_jobs=split_jobs)
     broken = history.play()
     if events_file is not None:
         events_file.write_text("".join(f"{event}\n" for event in history.events))
@@ -238,13 +240,13 @@
     return 1 if broken else 0
 
 
-def play_all(seeds: Sequence[int], workers: int) -> int:
+def play_all(seeds: Sequence[int], split_jobs: bool, workers: int) -> int:
     """Play histories and print what broke; return the exit code."""
     pairs: Counter[tuple[str, ...]] = Counter()
     gone_after: list[float] = []
     broken = 0
     with ProcessPoolExecutor(workers) as pool:
-        results = pool.map(play, seeds)
+        results = pool.map(partial(play, split_jobs=split_jobs), seeds)
         with click.progressbar(results, length=len(seeds), file=sys.stderr) as progress:
             for outcome in progress:
                 pairs[outcome.pair] += 1
@@ -268,9 +270,16 @@
 @click.option("--workers", default=8, show_default=True, help="Processes.")
 @click.option("--seed", default=None, type=int, help="Play only the history with this seed.")
 @click.option("--events", type=click.Path(path_type=Path), help="With --seed: write its requests.")
+@click.option("--split-jobs", is_flag=True, help="Store descriptions of jobs in parts.")
 @click.option("--guards", is_flag=True, help="Disable each guard in turn.")
 def main(
-    histories: int, first: int, workers: int, seed: int | None, events: Path | None, guards: bool
+    histories: int,
+    first: int,
+    workers: int,
+    seed: int | None,
+    events: Path | None,
+    split_jobs: bool,
+    guards: bool,
 ) -> None:
     """Print what broke, and how soon cancelled tasks were gone."""
     if events is not None and seed is None:
@@ -278,8 +287,8 @@
     if guards:
         sys.exit(play_without_guards(workers))
     if seed is not None:
-        sys.exit(play_one(seed, events))
-    sys.exit(play_all(range(first, first + histories), workers))
+        sys.exit(play_one(seed, split_jobs, events))
+    sys.exit(play_all(range(first, first + histories), split_jobs, workers))
 
 
 if __name__ == "__main__":
--- a/tests/fakes/fault_histories.py
+++ b/tests/fakes/fault_histories.py
@@ -17,10 +17,11 @@
 import pytest
 
 from micadeal.http.message import Request
-from tests.fakes.deployment_settings import FOLLOWERS_RENEW_AFTER_S
+from tests.fakes.deployment_settings import ANNOUNCED_STATE_LIMITS, FOLLOWERS_RENEW_AFTER_S
 from tests.fakes.faults import controllers, machines, state_service, users
 from tests.fakes.faults.context import Fault, FaultContext
 from tests.fakes.kernel import now_s
+from tests.fakes.submissions import SMALL_VALUE_BYTES, STORED_IN_PARTS
 from tests.fakes.world import CONTROLLERS, World
 
 #: Faults of a history begin within this time, in seconds.
@@ -84,8 +85,12 @@
         kinds: Iterable[str] = (),
         catalogue: Mapping[str, Fault] = FAULTS,
         world_type: Callable[..., World] = World,
+        split_jobs: bool = False,
     ) -> None:
-        """Draw a history; ``kinds``: its faults; none: two or three of ``catalogue`` are drawn."""
+        """Draw a history; ``kinds``: its faults; none: two or three of ``catalogue`` are drawn.
+
+        ``split_jobs``: descriptions of jobs are stored in parts, since values must be small.
+        """
         self.seed = seed
         self._catalogue = catalogue
         draw = random.Random(seed)
@@ -93,7 +98,16 @@
         self.faults = [ScheduledFault(draw.uniform(0, FAULT_WINDOW_S), kind) for kind in drawn]
         # Some deployments have it switched off.
         renew_leases_as_follower = draw.random() < 0.8
-        world = world_type(seed, renew_leases_as_follower=renew_leases_as_follower, boot_s=3.0)
+        announced = ANNOUNCED_STATE_LIMITS if split_jobs else ""
+        world = world_type(
+            seed,
+            renew_leases_as_follower=renew_leases_as_follower,
+            boot_s=3.0,
+            announced=announced,
+        )
+        self._split_jobs = split_jobs
+        if split_jobs:
+            world.state.value_bytes = SMALL_VALUE_BYTES
         super().__init__(world, draw)
         self._faults_in_progress = 0
         #: How long nothing fails at first.
@@ -184,6 +198,8 @@
     async def _submit(self, shape: str, tasks: int, run_s: float, team: str) -> None:
         """Submit a job until it is accepted; ``run_s`` 0: it runs as long as others by default."""
         fields: dict[str, Any] = {"crew": team}
+        if self._split_jobs:
+            fields |= STORED_IN_PARTS
         if shape == "gang":
             fields |= {"one_zone": True, "bookmark_s": 5.0, "stow_s": 1.0}
         if shape == "daemon":
--- a/tests/fakes/submissions.py
+++ b/tests/fakes/submissions.py
@@ -2,8 +2,18 @@
 
 from __future__ import annotations
 
+from hashlib import sha256
+from typing import Any
+
 from micadeal.wire.users import Priority, Shape, Submission
 
+#: A value that a state service with ``ANNOUNCED_STATE_LIMITS`` takes, in bytes.
+SMALL_VALUE_BYTES = 2048
+#: Names of machine types that hardly compress: more than such a value holds.
+MANY_MACHINE_TYPES = [sha256(str(number).encode()).hexdigest() for number in range(90)]
+#: Fields, as users spell them, with which a job's description is stored in parts there.
+STORED_IN_PARTS: dict[str, Any] = {"rigs": ["box", *MANY_MACHINE_TYPES]}
+
 
 def spec(**fields: object) -> Submission:
     """Return the description of a small job, with the given fields changed."""
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -4,10 +4,12 @@
 
 import random
 from functools import partial
+from http import HTTPStatus
 from pathlib import Path
 
 import curio
 
+from micadeal.clock import seconds
 from tests.fakes.fault_histories import FAULTS, History
 from tests.fakes.faults.context import Fault, FaultContext
 from tests.fakes.kernel import now_s
@@ -19,10 +21,15 @@
 POLL_INTERVAL_S = 5.0
 #: A connection to a controller is kept for so many questions, unless one fails.
 QUESTIONS_PER_CONNECTION = 10
+#: Users that stay at one controller as long as it is ready, whatever it answers.
+KEPT_CONNECTIONS_SHARE = 0.5
+PROBE_TIMEOUT = seconds(1)
 #: Between the ends of leaders, or of controllers, in a series, in seconds.
 SERIES_INTERVALS_S = (6.0, 10.0, 14.0)
 #: How long a cut lasts, in seconds.
 CUT_DURATIONS_S = (3.0, 12.0, 30.0)
+#: How long a controller is without its peers: up to longer than users may go without an answer.
+ISOLATION_DURATIONS_S = (12.0, 30.0, 95.0)
 #: Jobs that depend on others, and how often one is submitted, in seconds.
 MAX_DEPENDENT_JOBS = 8
 DEPENDENT_JOB_INTERVAL_S = 7.0
@@ -69,9 +76,18 @@
     await curio.sleep(max(CUT_DURATIONS_S))
 
 
+async def controller_without_peers(context: FaultContext) -> None:
+    """Cut one controller off from both others; the state service, users and workers reach it."""
+    number = context.random.randrange(CONTROLLERS)
+    pairs = [(f"c{number}", f"c{other}") for other in range(CONTROLLERS) if other != number]
+    mode = context.random.choice([CutMode.SILENT, CutMode.HOLD])
+    await context.cut(pairs, mode, context.random.choice(ISOLATION_DURATIONS_S))
+
+
 CATALOGUE: dict[str, Fault] = {
     **FAULTS,
     "pause": pause,
+    "controller without peers": controller_without_peers,
     "cuts between any": cuts_between_any,
     "leaders in series": leaders_in_series,
     "restarts in turn": restarts_in_turn,
@@ -86,7 +102,10 @@
     def __init__(self, seed: int, folder: Path, workers: int, quiet_s: float) -> None:
         """Draw a history.  ``workers``: machines that a service keeps busy, besides all others."""
         super().__init__(
-            seed, catalogue=CATALOGUE, world_type=partial(SoakWorld, folder, workers=workers)
+            seed,
+            catalogue=CATALOGUE,
+            world_type=partial(SoakWorld, folder, workers=workers),
+            split_jobs=seed % 2 == 1,
         )
         self.quiet_s = quiet_s
         self._workers = workers
@@ -137,12 +156,22 @@
 
     async def _ask_about(self, job_id: str) -> None:
         number = self._user_draws.randrange(CONTROLLERS)
+        keeps_connection = self._user_draws.random() < KEPT_CONNECTIONS_SHARE
         asked = 0
         while True:
             began = now_s()
             answered = await self.world.status(job_id, number) is not None
             self.questions += 1
             asked += 1
-            if not answered or asked % QUESTIONS_PER_CONNECTION == 0:
+            if keeps_connection:
+                # The load balancer ends connections of a controller that is not ready.
+                moves = not answered and not await self._is_ready(number)
+            else:
+                moves = not answered or asked % QUESTIONS_PER_CONNECTION == 0
+            if moves:
                 number = (number + self._user_draws.choice([1, 2])) % CONTROLLERS
             await curio.sleep(max(0.0, began + POLL_INTERVAL_S - now_s()))
+
+    async def _is_ready(self, number: int) -> bool:
+        status, _ = await self.world.call(number, "GET", "/ready", timeout=PROBE_TIMEOUT)
+        return status == HTTPStatus.OK
--- a/tests/test_lost_responses.py
+++ b/tests/test_lost_responses.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from hashlib import sha256
 from typing import Any
 
 import curio
@@ -20,6 +19,7 @@
     CANCEL_S,
     FOLLOWERS_RENEW_AFTER_S,
 )
+from tests.fakes.submissions import STORED_IN_PARTS
 from tests.fakes.world import World, leader_of
 
 #: Prefixes of keys, and ``permit`` for requests on leases.
@@ -63,9 +63,7 @@
 
 async def run_job_stored_in_parts(world: World, kind: str, run_s: float) -> str:
     """Submit a short job; for ``part/`` one whose long list is stored in parts."""
-    # Names that hardly compress.
-    names = [sha256(str(number).encode()).hexdigest() for number in range(90)]
-    fields: dict[str, Any] = {"rigs": ["box", *names]} if kind == "part/" else {}
+    fields: dict[str, Any] = STORED_IN_PARTS if kind == "part/" else {}
     return await world.run_job("array", 3, run_s=run_s, image_gb=0.5, **fields)
 
 
--- a/tests/test_split_jobs_at_takeover.py
+++ b/tests/test_split_jobs_at_takeover.py
@@ -11,6 +11,7 @@
 from micadeal.http.message import Answer, Request
 from tests.fakes import state as state_fake
 from tests.fakes.deployment_settings import ANNOUNCED_STATE_LIMITS
+from tests.fakes.fault_histories import History
 from tests.fakes.world import World, leader_of
 
 #: Names that hardly compress: more than one value holds.
@@ -183,3 +184,12 @@
         assert not [key for key in world.state.keys if key.startswith("part/")]
 
     World(announced=ANNOUNCED_STATE_LIMITS).play(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_split_jobs_run_whatever_happens_to_leaders(seed: int) -> None:
+    """Guards against the loss of parts in any order of events: all jobs are split, and leaders end
+    and hand over at instants drawn from the seed."""
+    history = History(seed, ["leader crash", "hand over"], split_jobs=True)
+    assert history.play() == []
+    assert history.world.state.refused > 0
