Takeover: nothing is placed while tasks are there whose team can't be told

Cause: such tasks belong to a placeholder without a team, so they counted for nobody until they were stopped.

Change: the leader runs no scheduling cycle until the tasks that it took over without a team are gone; they are stopped at once, or end with their leases. All teams wait meanwhile, since each may be theirs. Nothing changes where all records can be read.

--- a/micadeal/controller/leader.py
+++ b/micadeal/controller/leader.py
@@ -248,6 +248,8 @@
         """Messages that wait come before a scheduling cycle, but not without limit."""
         if self._shutting_down or now < self._next_cycle or not self._scheduler.wants_cycle(now):
             return False
+        if self._record_loader.has_uncounted_tasks():
+            return False
         return self._mailbox.empty() or now >= self._next_cycle + MAX_CYCLE_DELAY
 
     def _run_cycle(self, now: timedelta) -> timedelta:
--- a/micadeal/controller/record_loader.py
+++ b/micadeal/controller/record_loader.py
@@ -54,6 +54,8 @@
         self.unreadable = UnreadableJobs()
         #: The jobs as the term began; until they are read nothing proves that one is over.
         self._listing = JobListing([], 0)
+        #: Jobs with tasks of which nobody can say for which team they count.
+        self._uncounted_jobs: set[str] = set()
 
     # -- all records, as the term begins ---------------------------------------------------
 
@@ -78,6 +80,7 @@
             if job.complete:
                 self._cluster.jobs_with_unwritten_results.add(job.id)
         self.apply_settings(loaded.settings)
+        self._note_uncounted_jobs()
         self._command_all_machines()
         log.info(
             "records loaded: token=%d jobs=%d unreadable_jobs=%d machines=%d age_s=%.1f",
@@ -88,6 +91,31 @@
             (now - loaded.requested_at).total_seconds(),
         )
 
+    def _note_uncounted_jobs(self) -> None:
+        self._uncounted_jobs = {
+            job.id for job in self._cluster.jobs.values() if job.attempts and not job.spec.team
+        }
+        if self._uncounted_jobs:
+            log.warning(
+                "placement waits until tasks of unknown teams are gone: token=%d jobs=%s",
+                self._cluster.token,
+                sorted(self._uncounted_jobs),
+            )
+
+    def has_uncounted_tasks(self) -> bool:
+        """Return whether tasks may be on machines that count for a team nobody can tell.
+
+        Guards ``quota``: the job's record, or that of its end, can't be read, so nothing may be
+        placed until they are gone.
+        """
+        jobs = self._cluster.jobs
+        self._uncounted_jobs = {
+            job_id
+            for job_id in self._uncounted_jobs
+            if (job := jobs.get(job_id)) is not None and job.attempts and not job.spec.team
+        }
+        return bool(self._uncounted_jobs)
+
     def _command_all_machines(self) -> None:
         """Have a direct command sent to every recorded machine.
 
--- a/tests/test_damaged_records.py
+++ b/tests/test_damaged_records.py
@@ -11,6 +11,7 @@
 import curio
 import pytest
 
+from tests.fakes.network import SILENT
 from tests.fakes.world import World, leader_of
 from tests.test_lost_responses import restart
 
@@ -60,3 +61,28 @@
         World().play(monkeypatch, scenario)
     assert "failed: " not in caplog.text and "request failed" not in caplog.text
     assert "task failed" not in caplog.text
+
+
+def test_team_stays_within_its_limit_while_tasks_of_an_unreadable_job_are_stopped(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards ``quota``: nobody can say for which team the tasks of a job count whose record is
+    damaged.  A job of the same team waits, and there is room for it."""
+
+    async def scenario(world: World) -> None:
+        damaged = await world.run_job("daemon", 8, crew="red")
+        other = await world.run_job("daemon", 8, crew="red")
+        await world.wait_until(lambda: world.running(damaged) == 8)
+        short = await world.run_job("array", 8, run_s=20.0, crew="blue")
+        await world.wait_until_done(short)
+        assert world.running(other) == 0
+        world.rules.unreadable_jobs.add(damaged)
+        _damage(world, f"job/{damaged}", [])
+        for worker in world.fleet.workers.values():
+            if any(attempt.job_id == damaged for attempt in worker.tasks.values()):
+                for number in range(3):
+                    world.network.cut(worker.name, f"c{number}", SILENT)
+        await restart(world, leader_of(world), after_s=0.7)
+        await world.wait_until(lambda: world.running(other) == 8, limit=120)
+
+    World(capacity=40, boot_s=1.0).play(monkeypatch, scenario)
