--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -1,4 +1,4 @@
-"""One-way partitions, late copies of heartbeats, restarted workers, malformed heartbeats."""
+"""One-way partitions, late copies of heartbeats, restarted workers."""
 
 from __future__ import annotations
 
@@ -8,9 +8,7 @@
 import curio
 import pytest
 
-from bench.model_reachability import GUARDS, explore, small_margin, without
 from micadeal.clock import monotonic, seconds
-from micadeal.fleet.reachability import MAX_EXCUSED_FAILURES, UNREACHABLE_AFTER, Reachability
 from micadeal.http.message import Request
 from micadeal.wire.codec import decode
 from tests.fakes.deployment_settings import LEASE_S
@@ -21,7 +19,7 @@
 MOVE_LIMIT = LEASE_S + 10
 
 
-def _workers_running(world: World, job: str) -> list[FakeWorker]:
+def workers_running(world: World, job: str) -> list[FakeWorker]:
     return [worker for worker, _ in world.tasks_on_machines(job)]
 
 
@@ -35,7 +33,7 @@
     async def scenario(world: World) -> None:
         service = await world.run_job("daemon", 3, scatter=True, rank="production")
         await world.wait_until(lambda: world.running(service) == 3)
-        unreachable = _workers_running(world, service)[0]
+        unreachable = workers_running(world, service)[0]
         world.network.receives_nothing.add(unreachable.name)
         leader = leader_of(world)
         if fault == "crash":
@@ -52,7 +50,7 @@
         assert took < MOVE_LIMIT
         for job in more:
             await world.wait_until_done(job)
-        assert unreachable not in _workers_running(world, service)
+        assert unreachable not in workers_running(world, service)
         await world.wait_until(lambda: unreachable.name in world.cloud.releases, limit=60)
 
     world = World().play(monkeypatch, scenario)
@@ -65,7 +63,7 @@
     async def scenario(world: World) -> None:
         first = await world.run_job("array", 2, run_s=30.0)
         await world.wait_until(lambda: world.running(first) == 2)
-        machine = _workers_running(world, first)[0]
+        machine = workers_running(world, first)[0]
         world.network.receives_nothing.add(machine.name)
         second = await world.run_job("array", 1, run_s=5.0, crew="blue")
         await curio.sleep(9)
@@ -87,7 +85,7 @@
         service = await world.run_job("daemon", 4, scatter=True, rank="production")
         gang = await world.run_job("gang", 2, run_s=200.0, one_zone=True, crew="blue")
         await world.wait_until(lambda: world.running(service) == 4 and world.running(gang) == 2)
-        zone = _workers_running(world, gang)[0].zone
+        zone = workers_running(world, gang)[0].zone
         world.network.receives_nothing |= {
             worker.name for worker in world.fleet.workers.values() if worker.zone == zone
         }
@@ -98,7 +96,7 @@
         await curio.sleep(LEASE_S)
         await world.wait_until(lambda: world.running(service) == 4, limit=60)
         assert not world.network.receives_nothing & {
-            worker.name for worker in _workers_running(world, service)
+            worker.name for worker in workers_running(world, service)
         }
 
     World().play(monkeypatch, scenario)
@@ -149,10 +147,10 @@
         array = await world.run_job("array", 4, run_s=40.0, crew="blue", loaners=True)
         await world.wait_until(lambda: world.running(service) == 4 and world.running(array) == 4)
         await curio.sleep(8)
-        dead = _workers_running(world, service)[0]
+        dead = workers_running(world, service)[0]
         world.cloud.take(dead.name)
         await world.wait_until(lambda: world.running(service) == 4, limit=MOVE_LIMIT)
-        world.cloud.take(_workers_running(world, array)[0].name)
+        world.cloud.take(workers_running(world, array)[0].name)
         world.crash(leader_of(world))
         await world.wait_until(lambda: world.running(service) == 4, limit=MOVE_LIMIT)
         late = await world.run_job("array", 2, run_s=5.0)
@@ -170,7 +168,7 @@
     async def scenario(world: World) -> None:
         first = await world.run_job("array", 2, run_s=15.0)
         await world.wait_until(lambda: world.running(first) == 2)
-        gone = _workers_running(world, first)[0]
+        gone = workers_running(world, first)[0]
         sent: list[Request] = []
 
         def record(source: str, address: str, request: Request) -> Iterable[tuple[float, str]]:
@@ -223,7 +221,7 @@
         if copied:
             _copy_heartbeats(world, 3, (0.5, 30.0))
             await curio.sleep(10)
-        machine = _workers_running(world, service)[0]
+        machine = workers_running(world, service)[0]
         machine.begin_anew()
         await world.wait_until(lambda: machine.name in world.cloud.releases, limit=6)
         # Another machine boots, and fetches the image.
@@ -326,93 +324,3 @@
         assert world.running(service) == 3
 
     World().play(monkeypatch, scenario)
-
-
-# -- what messages prove -------------------------------------------------------------------
-
-
-def test_only_the_answer_to_a_probe_after_the_newest_message_proves_a_restart() -> None:
-    reachability = Reachability()
-    reachability.record_message(7, seconds(10))
-    assert not reachability.proves_restart(None)
-    assert not reachability.proves_restart(seconds(9))
-    assert not reachability.proves_restart(seconds(10))
-    assert reachability.proves_restart(seconds(11))
-
-
-def test_missing_effects_make_a_machine_unreachable_and_answered_probes_end_that() -> None:
-    reachability = Reachability()
-    reachability.response_had_no_effect(seconds(1))
-    assert not reachability.receives_nothing
-    reachability.probe_unanswered(seconds(0))
-    assert not reachability.receives_nothing
-    reachability.probe_unanswered(seconds(2))
-    assert reachability.receives_nothing
-    assert reachability.receives_nothing_for(seconds(5)) == seconds(4)
-    reachability.probe_answered(seconds(6))
-    assert not reachability.receives_nothing and reachability.missed < UNREACHABLE_AFTER
-    for _ in range(MAX_EXCUSED_FAILURES):
-        reachability.response_had_no_effect(seconds(7))
-    reachability.probe_answered(seconds(8))
-    assert reachability.receives_nothing
-    reachability.response_took_effect()
-    assert not reachability.receives_nothing
-
-
-def test_model_of_one_worker_keeps_the_rule_and_breaks_it_without_each_guard() -> None:
-    with small_margin():
-        _, course = explore(6)
-        assert course is None
-        for guard in GUARDS:
-            with without(guard):
-                _, course = explore(7)
-                assert course is not None, guard
-
-
-# -- malformed heartbeats ------------------------------------------------------------------
-
-
-@pytest.mark.parametrize(
-    "malformed",
-    [
-        {"host": ""},
-        {"shift": -1},
-        {"tick": -5},
-        {"baton": "x"},
-        {"recall_s": float("nan")},
-        {"recall_s": float("inf")},
-        {"legs": [{"leg": "req-000001/0", "try": -1, "status": "running"}]},
-        {"legs": 7},
-        {"shift": None},
-    ],
-)
-def test_malformed_heartbeat_is_refused_without_effect(
-    monkeypatch: pytest.MonkeyPatch, malformed: dict[str, object]
-) -> None:
-    async def scenario(world: World) -> None:
-        job = await world.run_job("array", 1, run_s=20.0)
-        await world.wait_until(lambda: world.running(job) == 1)
-        worker = _workers_running(world, job)[0]
-        heartbeat = worker._on_heartbeat() | malformed
-        for number in range(3):
-            assert (await world.call(number, "POST", "/checkin", heartbeat))[0] == 400
-        await world.wait_until_done(job)
-
-    World().play(monkeypatch, scenario)
-
-
-def test_unknown_task_states_and_task_ids_have_no_effect(monkeypatch: pytest.MonkeyPatch) -> None:
-    async def scenario(world: World) -> None:
-        job = await world.run_job("array", 1, run_s=20.0)
-        await world.wait_until(lambda: world.running(job) == 1)
-        worker = _workers_running(world, job)[0]
-        odd = [
-            {"leg": "no task", "try": 1, "status": "running"},
-            {"leg": "req-999999/0", "try": 1, "status": "dreaming"},
-        ]
-        heartbeat = worker._on_heartbeat()
-        heartbeat["legs"] = heartbeat["legs"] + odd
-        assert (await world.call(leader_of(world), "POST", "/checkin", heartbeat))[0] == 200
-        await world.wait_until_done(job)
-
-    World().play(monkeypatch, scenario)
