Soak: ports that no outgoing connection takes, a seed that stands still is ended

One of its controllers could not listen ("Address already in use"): its port, found free before, is of the range that Linux gives to outgoing connections. Why the process that plays the seed did no more is not known; it was ended before its stack was looked at.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -28,6 +28,8 @@
 LARGE_WORKERS = 300
 MAX_JOBS_AT_ONCE = 24
 POLL_INTERVAL_S = 0.2
+#: A seed that takes longer stands still: the longest took some 170 s beside other load.
+MAX_SEED_S = 600.0
 JOB_ID = re.compile(r"req-\d+")
 
 
@@ -86,12 +88,19 @@
     """Play seeds in processes of their own, ``jobs`` at once; return how many broke a rule."""
     waiting = list(seeds)
     running: list[subprocess.Popen[str]] = []
+    began: dict[int, float] = {}
     failed = 0
     try:
         while waiting or running:
             while waiting and len(running) < jobs:
                 running.append(_start(waiting.pop(0), options))
+                began[running[-1].pid] = time.monotonic()
             time.sleep(POLL_INTERVAL_S)
+            for process in running:
+                if time.monotonic() - began[process.pid] > MAX_SEED_S:
+                    click.echo(f"  process {process.pid} stands still, it is ended")
+                    process.terminate()
+                    began[process.pid] = time.monotonic()
             for process in [process for process in running if process.poll() is not None]:
                 running.remove(process)
                 output, _ = process.communicate()
--- a/tests/soak/relays.py
+++ b/tests/soak/relays.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import random
 import socket
+from contextlib import suppress
 from datetime import timedelta
 from http import HTTPStatus
 from typing import Any
@@ -22,6 +24,8 @@
 from tests.fakes.network import FakeNetwork
 
 LOOPBACK = "127.0.0.1"
+#: Below the ports that Linux gives to outgoing connections.
+LISTENING_PORTS = range(12_000, 32_000)
 MAX_CONNECTIONS = 2000
 #: Idle connections kept open to one controller.
 MAX_IDLE_CONNECTIONS = 64
@@ -31,10 +35,17 @@
 
 
 def free_address() -> str:
-    """Return a loopback address whose port the system has just found free."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return f"{LOOPBACK}:{probe.getsockname()[1]}"
+    """Return a loopback address that is free now.
+
+    Its port is not one that the system gives to outgoing connections: some process would take it
+    before the controller listens, or whenever the controller is away.
+    """
+    draw = random.SystemRandom()
+    while True:
+        port = draw.choice(LISTENING_PORTS)
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind((LOOPBACK, port))
+            return f"{LOOPBACK}:{port}"
 
 
 class Relays:
