Soak: the output of a seed goes into a file, so that no full pipe stops it

Cause: seed 242 stood still. Its output was a pipe that was read only at its end, and the errors that followed from the port in use were more than 64 KiB.

Change: output goes into a file; a seed that takes over 600 s is asked to end, and killed if it does not within 30 s.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -30,6 +30,8 @@
 POLL_INTERVAL_S = 0.2
 #: A seed that takes longer stands still: the longest took some 170 s beside other load.
 MAX_SEED_S = 600.0
+#: How long it may then take to end its controllers.
+END_TIMEOUT_S = 30.0
 JOB_ID = re.compile(r"req-\d+")
 
 
@@ -84,46 +86,68 @@
     (folder / f"{job_id}.history").write_text("\n".join(lines))
 
 
+@dataclass(frozen=True, slots=True)
+class _SeedRun:
+    """One seed that is played in a process of its own."""
+
+    seed: int
+    process: subprocess.Popen[bytes]
+    #: Not a pipe: one that nobody reads is full after 64 KiB, and then the process stands still.
+    output: Path
+    began: float
+
+    @classmethod
+    def start(cls, seed: int, options: Options) -> _SeedRun:
+        command = [sys.executable, "-m", "tests.soak", "--seed", str(seed)]
+        command += ["--keep", str(options.keep), "--quiet", str(options.quiet_s)]
+        if options.workers is not None:
+            command += ["--workers", str(options.workers)]
+        options.keep.mkdir(parents=True, exist_ok=True)
+        output = options.keep / f"seed-{seed}.output"
+        with output.open("wb") as file:
+            process = subprocess.Popen(command, cwd=ROOT, stdout=file, stderr=subprocess.STDOUT)
+        return cls(seed, process, output, time.monotonic())
+
+    def has_ended(self) -> bool:
+        """Return whether the process has ended; one that takes too long is ended."""
+        if time.monotonic() - self.began > MAX_SEED_S:
+            self._end()
+        return self.process.poll() is not None
+
+    def _end(self) -> None:
+        """End the process; it ends its controllers first."""
+        self.process.terminate()
+        try:
+            self.process.wait(END_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
+
+
 def play_all(seeds: list[int], jobs: int, options: Options) -> int:
     """Play seeds in processes of their own, ``jobs`` at once; return how many broke a rule."""
     waiting = list(seeds)
-    running: list[subprocess.Popen[str]] = []
-    began: dict[int, float] = {}
+    running: list[_SeedRun] = []
     failed = 0
     try:
         while waiting or running:
             while waiting and len(running) < jobs:
-                running.append(_start(waiting.pop(0), options))
-                began[running[-1].pid] = time.monotonic()
+                running.append(_SeedRun.start(waiting.pop(0), options))
             time.sleep(POLL_INTERVAL_S)
-            for process in running:
-                if time.monotonic() - began[process.pid] > MAX_SEED_S:
-                    click.echo(f"  process {process.pid} stands still, it is ended")
-                    process.terminate()
-                    began[process.pid] = time.monotonic()
-            for process in [process for process in running if process.poll() is not None]:
-                running.remove(process)
-                output, _ = process.communicate()
-                click.echo(output, nl=False)
-                failed += process.returncode != 0
+            for run in [run for run in running if run.has_ended()]:
+                running.remove(run)
+                click.echo(run.output.read_text(errors="replace"), nl=False)
+                if run.process.returncode:
+                    click.echo(f"  seed {run.seed}: exit code {run.process.returncode}")
+                    failed += 1
     finally:
-        for process in running:
-            process.terminate()
-        for process in running:
-            process.wait()
+        for run in running:
+            run.process.terminate()
+        for run in running:
+            run.process.wait()
     return failed
 
 
-def _start(seed: int, options: Options) -> subprocess.Popen[str]:
-    command = [sys.executable, "-m", "tests.soak", "--seed", str(seed), "--keep", str(options.keep)]
-    command += ["--quiet", str(options.quiet_s)]
-    if options.workers is not None:
-        command += ["--workers", str(options.workers)]
-    return subprocess.Popen(
-        command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
-    )
-
-
 def _end(*_: object) -> None:
     # As on Ctrl-C, so that what was started is ended.
     raise KeyboardInterrupt
