--- a/tests/test_confirmation_exchange.py
+++ b/tests/test_confirmation_exchange.py
@@ -20,10 +20,10 @@
 from tests.fakes.deployment_settings import CANCEL_S, FOLLOWERS_RENEW_AFTER_S
 from tests.fakes.network import REFUSE, SILENT
 from tests.fakes.world import CONTROLLERS, World, leader_of
+from tests.test_unanswered_jobs import SMALL, ask_for, slow_state_service
 
-#: How often users ask, and how long the trouble lasts, in seconds.
-POLL_S, TROUBLE_S = 5.0, 100.0
-SMALL: dict[str, Any] = {"image_gb": 0.1, "accelerators": 0.0, "vcpus": 1.0, "ram_gb": 1.0}
+#: How long the trouble lasts, in seconds.
+TROUBLE_S = 100.0
 
 
 def separate(world: World, number: int) -> None:
@@ -42,10 +42,12 @@
 
 async def ask_about(world: World, jobs: list[str], number: int, duration_s: float) -> None:
     """Ask one controller about all jobs again and again."""
-    for _ in range(int(duration_s / POLL_S)):
+
+    async def poll() -> None:
         for job in jobs:
             await curio.spawn(world.status, job, number, daemon=True)
-        await curio.sleep(POLL_S)
+
+    await ask_for(world, duration_s, poll)
 
 
 # -- who can't tell a majority, and why ----------------------------------------------------------
@@ -59,12 +61,7 @@
 
 async def follower_apart_with_a_slow_state_service(world: World, jobs: list[str]) -> int:
     follower = await follower_apart(world, jobs)
-
-    def slow(source: str, address: str, request: Request) -> float:
-        ours = source == f"c{follower}" and address == state_fake.ADDRESS
-        return 0.3 if ours and request.path != "/changes" else 0.0
-
-    world.network.answer_delay = slow
+    slow_state_service(world, follower)
     return follower
 
 
