--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,6 +8,8 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
+#: What was sent, answered and run; written anew by each run.
+RECORD = FOLDER / "record.txt"
 sys.path.insert(0, str(FOLDER.parent / "common"))
 
 from standins import Site, User, job, now, run_case  # noqa: E402
@@ -58,7 +60,7 @@
 
 async def main(trouble: bool) -> int:
     """Play the case; 1: the job of the other team was left waiting, 0: it started."""
-    site = Site(FOLDER, CLUSTER, HARBOR_16, HARBOR_16["depots"], boot_s=1.0)
+    site = Site(RECORD, CLUSTER, HARBOR_16, HARBOR_16["depots"], boot_s=1.0)
     try:
         for number in range(MACHINES):
             await site.cloud.add(HARBOR_16["depots"][number % 3], spot=False)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -749,7 +749,7 @@
 
     def __init__(
         self,
-        folder: Path,
+        record: Path,
         cluster: str,
         machine_type: dict[str, Any],
         zones: list[str],
@@ -759,8 +759,11 @@
         latency_s: float = 0.001,
         log_state: bool = False,
     ) -> None:
-        """``cluster``: the text of the settings from ``[cluster]`` on, without the zones."""
-        self.record = Record(folder / "record.txt")
+        """``cluster``: the text of the settings from ``[cluster]`` on, without the zones.
+
+        ``record``: the file that gets what was sent, answered and run.
+        """
+        self.record = Record(record)
         self.temp = Path(tempfile.mkdtemp(prefix="micadeal-review-"))
         self.cluster_text = cluster
         settings = tomllib.loads(cluster)["cluster"]
