--- a/review/common-2/case_world.py
+++ b/review/common-2/case_world.py
@@ -46,8 +46,13 @@
     """The deployment of one case, which records what is sent, answered and run."""
 
     def __init__(self, folder: Path, **deployment: Any) -> None:  # noqa: ANN401 - passed on
-        """Prepare the deployment; the logs of the controllers go into ``folder``."""
+        """Prepare the deployment; the logs of the controllers go into ``folder``.
+
+        ``teams`` is a section of the settings that replaces the usual teams.
+        """
+        teams = deployment.pop("teams", None)
         super().__init__(folder, 1, 0, **deployment)
+        self.teams = teams or self.teams
         #: Whether to note just the ends of tasks, for cases with thousands of tasks.
         self.many_tasks = False
         self._began_at = monotonic()
