--- a/review/6/case.py
+++ b/review/6/case.py
@@ -39,4 +39,4 @@
     return [f"{wanted} waits for {waited:.0f} s while a machine has room for it"]
 
 
-main(Path(__file__).parent, scenario)
+main(Path(__file__).parent / "record.txt", scenario)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -52,4 +52,4 @@
     return [f"{wanted} waits for {waited:.0f} s while a machine has room for it"]
 
 
-main(Path(__file__).parent, scenario, teams=TEAMS, boot_s=BOOT_S)
+main(Path(__file__).parent / "record.txt", scenario, teams=TEAMS, boot_s=BOOT_S)
--- a/review/common-2/case_world.py
+++ b/review/common-2/case_world.py
@@ -180,11 +180,11 @@
 
 
 def main(
-    case: Path,
+    record: Path,
     scenario: Callable[[CaseWorld], Awaitable[list[str]]],
     **deployment: Any,  # noqa: ANN401 - passed on
 ) -> None:
-    """Run the scenario of the case in the folder ``case`` and exit with its code."""
+    """Run the scenario of a case, write what happened to ``record``, and exit with its code."""
     signal.signal(signal.SIGTERM, _interrupt)
     signal.signal(signal.SIGALRM, _interrupt)
     signal.alarm(MAX_PROCESS_S)
@@ -204,7 +204,7 @@
             world.note(f"could not run: {traceback.format_exc()}")
         finally:
             world.note(f"exit code {code}")
-            (case / "record.txt").write_text("\n".join(world.lines) + "\n")
+            record.write_text("\n".join(world.lines) + "\n")
             if os.environ.get("KEEP_LOGS"):
                 for log in Path(folder).glob("*.log"):
                     (Path(os.environ["KEEP_LOGS"]) / log.name).write_bytes(log.read_bytes())
